--- a/cmake/foxtaillift.cmake
+++ b/cmake/foxtaillift.cmake
@@ -21,6 +21,10 @@
 # takes its default; GCC warns of members without a written default.
 add_compile_options(
   -Wall -Wextra -Wpedantic -Wshadow -Werror -Wno-missing-field-initializers)
+if(CMAKE_BUILD_TYPE STREQUAL "Release")
+  # GCC 12 reports false positives in std::string and std::optional at -O3.
+  add_compile_options(-Wno-restrict -Wno-maybe-uninitialized)
+endif()
 if(FOXTAILLIFT_SANITIZER STREQUAL "address")
   add_compile_options(
     -fsanitize=address,undefined -fno-sanitize-recover=all
--- a/libs/base/include/foxtaillift/base/clock.hpp
+++ b/libs/base/include/foxtaillift/base/clock.hpp
@@ -106,6 +106,14 @@
     [[nodiscard]] instant now() const;
 };
 
+/// A monotonic clock that also counts the time during which the machine is
+/// suspended. For leases that others count on. Safe for concurrent use.
+class boot_clock
+{
+public:
+    [[nodiscard]] instant now() const;
+};
+
 /// A clock that moves only when told to, for tests and replays.
 class manual_clock
 {
--- a/libs/batch/benchmarks/placement_benchmark.cpp
+++ b/libs/batch/benchmarks/placement_benchmark.cpp
@@ -28,7 +28,7 @@
         this->handle(cell_taken{base::cell_id{"c1"}, 1});
         workers_listed list;
         for (int i = 0; i < workers; ++i) {
-            platform::worker_entry entry;
+            formats::worker_entry entry;
             entry.worker = base::worker_id{"w" + std::to_string(i)};
             entry.rack = base::rack_id{"r" + std::to_string(i / 8)};
             entry.failure_domain =
@@ -69,16 +69,16 @@
 
     /// The worker's answer to the renewal in progress, or to a later one,
     /// shows that this run is over.
-    void finish(base::worker_id const& worker, platform::run_entry entry)
+    void finish(base::worker_id const& worker, formats::run_entry entry)
     {
         this->over[worker.str()].push_back(std::move(entry));
-        platform::usage_report report;
+        formats::usage_report report;
         report.worker = worker;
         report.sequence = ++this->sequence;
-        platform::run_usage usage;
+        formats::run_usage usage;
         usage.task = this->over[worker.str()].back().task;
         usage.attempt = this->over[worker.str()].back().attempt;
-        usage.state = platform::run_state::finished;
+        usage.state = formats::run_state::finished;
         report.runs.push_back(std::move(usage));
         this->handle(usage_reported{std::move(report)});
     }
@@ -97,7 +97,7 @@
     void answer(adopt_worker const& wanted)
     {
         worker_adopted reply{
-            wanted.request, wanted.worker, platform::agent_status::done, {}};
+            wanted.request, wanted.worker, formats::agent_status::done, {}};
         reply.answer.worker = wanted.worker;
         auto const number = std::stoi(wanted.worker.str().substr(1));
         reply.answer.capacity = {16'000, 60'000, number % 4 == 0 ? 4 : 0};
@@ -111,20 +111,20 @@
             wanted.worker,
             wanted.message.task,
             wanted.message.attempt,
-            platform::agent_status::done,
+            formats::agent_status::done,
             {}});
     }
     void answer(runs_command const& wanted)
     {
         runs_answered reply{
-            wanted.request, wanted.worker, platform::agent_status::done, {}};
+            wanted.request, wanted.worker, formats::agent_status::done, {}};
         for (auto const& one : wanted.message.tasks) {
-            platform::run_entry entry;
+            formats::run_entry entry;
             entry.task = one.task;
             entry.attempt = one.attempt;
             entry.state = wanted.verb == runs_verb::stop
-                              ? platform::run_state::stopped
-                              : platform::run_state::running;
+                              ? formats::run_state::stopped
+                              : formats::run_state::running;
             auto const ended = this->over.find(wanted.worker.str());
             if (ended != this->over.end()) {
                 for (auto const& known : ended->second) {
@@ -140,7 +140,7 @@
     void answer(commit const& wanted)
     {
         this->answers.emplace_back(commit_finished{
-            wanted.id, platform::transact_status::committed, {}});
+            wanted.id, formats::transact_status::committed, {}});
     }
     void answer(write_object const& wanted)
     {
@@ -155,7 +155,7 @@
 
     std::vector<action> actions;
     std::vector<event> answers;
-    std::unordered_map<std::string, std::vector<platform::run_entry>> over;
+    std::unordered_map<std::string, std::vector<formats::run_entry>> over;
     std::uint64_t sequence = 0;
 };
 
@@ -201,10 +201,10 @@
            next < cell.started.size()) {
         for (int i = 0; i < 64 && next < cell.started.size(); ++i, ++next) {
             auto const run = cell.started[next];
-            platform::run_entry entry;
+            formats::run_entry entry;
             entry.task = run.message.task;
             entry.attempt = run.message.attempt;
-            entry.state = platform::run_state::finished;
+            entry.state = formats::run_state::finished;
             cell.finish(run.worker, std::move(entry));
         }
         cell.settle(1);
--- a/libs/batch/benchmarks/policy_benchmark.cpp
+++ b/libs/batch/benchmarks/policy_benchmark.cpp
@@ -17,7 +17,7 @@
 namespace
 {
 
-constexpr platform::resources machine{16'000, 60'000, 0};
+constexpr formats::resources machine{16'000, 60'000, 0};
 constexpr int worker_count = 8;
 // Rise of the latency ratio by one core at the crest.
 std::map<std::string, double> const harms{
--- a/libs/batch/include/foxtaillift/batch/actions.hpp
+++ b/libs/batch/include/foxtaillift/batch/actions.hpp
@@ -3,8 +3,8 @@
 
 #include "foxtaillift/base/event_line.hpp"
 #include "foxtaillift/base/identifier.hpp"
-#include "foxtaillift/platform/table.hpp"
-#include "foxtaillift/platform/worker_agent.hpp"
+#include "foxtaillift/formats/table.hpp"
+#include "foxtaillift/formats/worker_agent.hpp"
 
 #include <cstdint>
 #include <string>
@@ -19,7 +19,7 @@
 {
     std::uint64_t request = 0;
     base::worker_id worker;
-    platform::adopt_request message;
+    formats::adopt_request message;
 };
 
 /// The daemon must send it at once or not at all and then report `unknown`: a
@@ -29,7 +29,7 @@
 {
     std::uint64_t request = 0;
     base::worker_id worker;
-    platform::start_request message;
+    formats::start_request message;
 };
 
 enum class runs_verb
@@ -49,7 +49,7 @@
     runs_verb verb = runs_verb::renew;
     std::uint64_t request = 0;
     base::worker_id worker;
-    platform::runs_request message;
+    formats::runs_request message;
 };
 
 enum class commit_priority
@@ -65,8 +65,8 @@
 {
     std::uint64_t id = 0;
     commit_priority priority = commit_priority::task_records;
-    std::vector<platform::row_condition> conditions;
-    std::vector<platform::row_write> writes;
+    std::vector<formats::row_condition> conditions;
+    std::vector<formats::row_write> writes;
 };
 
 struct read_rows
--- a/libs/batch/include/foxtaillift/batch/cell_query.hpp
+++ b/libs/batch/include/foxtaillift/batch/cell_query.hpp
@@ -32,7 +32,7 @@
     base::task_id task;
     task_spec spec;
     task_state state = task_state::queued;
-    platform::attempt_number attempt = 0;
+    formats::attempt_number attempt = 0;
     base::worker_id worker; ///< if it runs
     std::uint32_t evictions = 0;
     base::duration waiting; ///< since it was queued, if it is
@@ -47,9 +47,9 @@
     bool is_reachable = false;
     bool takes_work = false;
     std::string reason; ///< why it takes no work
-    platform::resources capacity;
-    platform::resources committed; ///< to batch tasks
-    platform::resources free;      ///< for normal tasks
+    formats::resources capacity;
+    formats::resources committed; ///< to batch tasks
+    formats::resources free;      ///< for normal tasks
     std::uint32_t runs = 0;
     double pressure = 1;           ///< highest latency ratio of its services
     double predicted_pressure = 1; ///< by the learned harm of what runs there
@@ -59,7 +59,7 @@
 {
     base::team_id team;
     std::uint64_t queued = 0;
-    platform::resources used;
+    formats::resources used;
     team_quota quota;
     double share = 0; ///< highest use of a resource by quota or weight
 };
@@ -80,8 +80,8 @@
     std::uint64_t epoch = 0;
     std::uint64_t tasks = 0; ///< not terminal
     std::uint64_t running = 0;
-    platform::resources batch_capacity;
-    platform::resources committed;
+    formats::resources batch_capacity;
+    formats::resources committed;
 };
 
 /// Counters since the engine was made. Each bound of scheduler_options has one.
--- a/libs/batch/include/foxtaillift/batch/events.hpp
+++ b/libs/batch/include/foxtaillift/batch/events.hpp
@@ -7,9 +7,9 @@
 #include "foxtaillift/base/identifier.hpp"
 #include "foxtaillift/batch/settings.hpp"
 #include "foxtaillift/batch/task.hpp"
-#include "foxtaillift/platform/hosts.hpp"
-#include "foxtaillift/platform/table.hpp"
-#include "foxtaillift/platform/worker_agent.hpp"
+#include "foxtaillift/formats/hosts.hpp"
+#include "foxtaillift/formats/table.hpp"
+#include "foxtaillift/formats/worker_agent.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -25,7 +25,7 @@
 struct cell_taken
 {
     base::cell_id cell;
-    platform::epoch_number epoch = 0;
+    formats::epoch_number epoch = 0;
 };
 
 /// What the table and the object store hold of the cell. Read after the owner
@@ -35,22 +35,22 @@
 {
     std::string head;                 ///< value of the head row, or empty
     std::vector<std::string> objects; ///< contents, in the head row's order
-    std::vector<platform::row> log;   ///< ascending
-    std::vector<platform::row> inbox;
+    std::vector<formats::row> log;    ///< ascending
+    std::vector<formats::row> inbox;
 };
 
 /// All workers of the cell, as the platform lists them.
 struct workers_listed
 {
-    std::vector<platform::worker_entry> workers;
+    std::vector<formats::worker_entry> workers;
 };
 
 struct worker_adopted
 {
     std::uint64_t request = 0;
     base::worker_id worker;
-    platform::agent_status status = platform::agent_status::unknown;
-    platform::adopt_answer answer; ///< if done
+    formats::agent_status status = formats::agent_status::unknown;
+    formats::adopt_answer answer; ///< if done
 };
 
 struct start_answered
@@ -58,9 +58,9 @@
     std::uint64_t request = 0;
     base::worker_id worker;
     base::task_id task;
-    platform::attempt_number attempt = 0;
-    platform::agent_status status = platform::agent_status::unknown;
-    std::optional<platform::run_entry> run; ///< state, if the worker gave it
+    formats::attempt_number attempt = 0;
+    formats::agent_status status = formats::agent_status::unknown;
+    std::optional<formats::run_entry> run; ///< state, if the worker gave it
 };
 
 /// Answer to any runs_command.
@@ -68,13 +68,13 @@
 {
     std::uint64_t request = 0;
     base::worker_id worker;
-    platform::agent_status status = platform::agent_status::unknown;
-    std::vector<platform::run_entry> runs;
+    formats::agent_status status = formats::agent_status::unknown;
+    std::vector<formats::run_entry> runs;
 };
 
 struct usage_reported
 {
-    platform::usage_report report;
+    formats::usage_report report;
 };
 
 /// A submission for this cell; answered by a submission_reply.
@@ -101,21 +101,21 @@
 /// New rows with inbox_prefix were seen.
 struct inbox_read
 {
-    std::vector<platform::row> rows;
+    std::vector<formats::row> rows;
 };
 
 /// Final outcome of a commit; never `unknown`, which the store client resolves.
 struct commit_finished
 {
     std::uint64_t commit = 0;
-    platform::transact_status status = platform::transact_status::rejected;
-    std::vector<platform::row_condition> rows; ///< that differ, if conflict
+    formats::transact_status status = formats::transact_status::rejected;
+    std::vector<formats::row_condition> rows; ///< that differ, if conflict
 };
 
 struct rows_read
 {
     std::uint64_t request = 0;
-    platform::rows_result result;
+    formats::rows_result result;
 };
 
 struct object_written
--- a/libs/batch/include/foxtaillift/batch/records.hpp
+++ b/libs/batch/include/foxtaillift/batch/records.hpp
@@ -7,8 +7,8 @@
 
 #include "foxtaillift/base/identifier.hpp"
 #include "foxtaillift/batch/task.hpp"
-#include "foxtaillift/platform/table.hpp"
-#include "foxtaillift/platform/worker_agent.hpp"
+#include "foxtaillift/formats/table.hpp"
+#include "foxtaillift/formats/worker_agent.hpp"
 
 #include <nlohmann/json_fwd.hpp>
 
@@ -27,9 +27,9 @@
     base::task_id task;
     task_spec spec;
     task_state state = task_state::queued;
-    platform::attempt_number attempt = 0; ///< highest attempt known
-    base::worker_id worker;               ///< of the attempt, if it is running
-    std::string checkpoint;               ///< to resume from, or empty
+    formats::attempt_number attempt = 0; ///< highest attempt known
+    base::worker_id worker;              ///< of the attempt, if it is running
+    std::string checkpoint;              ///< to resume from, or empty
     std::uint32_t evictions = 0;
     std::vector<base::worker_id> failed_on; ///< distinct workers
     std::string message;                    ///< reason of the last failure
@@ -45,7 +45,7 @@
 struct started_record
 {
     base::task_id task;
-    platform::attempt_number attempt = 0;
+    formats::attempt_number attempt = 0;
     base::worker_id worker;
 };
 /// An attempt ended. `next` is the state of the task afterwards: queued if it
@@ -53,7 +53,7 @@
 struct ended_record
 {
     base::task_id task;
-    platform::attempt_number attempt = 0;
+    formats::attempt_number attempt = 0;
     base::worker_id worker;
     task_state next = task_state::queued;
     std::string checkpoint;      ///< to resume from, or empty
@@ -89,7 +89,7 @@
 /// that is in no record may have run there, so that one number is skipped.
 struct attempts_skipped_record
 {
-    platform::epoch_number epoch = 0;
+    formats::epoch_number epoch = 0;
 };
 
 using record = std::variant<
--- a/libs/batch/include/foxtaillift/batch/settings.hpp
+++ b/libs/batch/include/foxtaillift/batch/settings.hpp
@@ -4,7 +4,7 @@
 
 #include "foxtaillift/base/clock.hpp"
 #include "foxtaillift/base/identifier.hpp"
-#include "foxtaillift/platform/hosts.hpp"
+#include "foxtaillift/formats/hosts.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -58,7 +58,7 @@
     double service_memory = 0.25;
 
     /// One worker in `urgent_every` keeps this much free for urgent tasks.
-    platform::resources urgent_hole{4000, 8192, 0};
+    formats::resources urgent_hole{4000, 8192, 0};
     std::uint32_t urgent_every = 8;
 
     /// Share of the batch processors that tasks expected to run longer than
--- a/libs/batch/include/foxtaillift/batch/task.hpp
+++ b/libs/batch/include/foxtaillift/batch/task.hpp
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "foxtaillift/base/identifier.hpp"
-#include "foxtaillift/platform/hosts.hpp"
+#include "foxtaillift/formats/hosts.hpp"
 
 #include <nlohmann/json_fwd.hpp>
 
@@ -54,7 +54,7 @@
     base::team_id team; ///< without '/'
     std::string key;    ///< idempotency key, unique within the team
     std::string task_class;
-    platform::resources size;
+    formats::resources size;
     std::int64_t run_ms = 0;      ///< declared run time, 0 if unknown
     std::int64_t deadline_ms = 0; ///< wanted end after submission, 0 if none
     task_priority priority = task_priority::normal;
--- a/libs/batch/src/cell_state.hpp
+++ b/libs/batch/src/cell_state.hpp
@@ -41,7 +41,7 @@
 struct ownership
 {
     base::cell_id cell;
-    platform::epoch_number epoch = 0;
+    formats::epoch_number epoch = 0;
     cell_phase phase = cell_phase::released;
     base::instant taken;
     bool is_lease_confirmed = true;
@@ -138,12 +138,12 @@
     void restore_task(task_record& durable);
     void send_adopt(worker_index index);
     void apply_audit(worker_index index, worker_adopted const& input);
-    void audit_entry(worker_index index, platform::run_entry const& entry);
+    void audit_entry(worker_index index, formats::run_entry const& entry);
     void adopt_run(
-        worker_index index, task_index task, platform::run_entry const& entry);
-    void add_orphan(worker_index index, platform::run_entry const& entry);
+        worker_index index, task_index task, formats::run_entry const& entry);
+    void add_orphan(worker_index index, formats::run_entry const& entry);
     void
-    acknowledge_unknown(worker_index index, platform::run_entry const& entry);
+    acknowledge_unknown(worker_index index, formats::run_entry const& entry);
     void open_if_ready();
     void open();
     void lose_cell(std::string reason);
@@ -151,7 +151,7 @@
 
     // fleet.cpp: workers, limits, failures of workers.
     worker_index add_worker(base::worker_id const& id);
-    void list_worker(platform::worker_entry const& entry);
+    void list_worker(formats::worker_entry const& entry);
     void update_limits(worker_index index);
     void update_open(worker_index index);
     void retire_worker(worker_index index);
@@ -165,12 +165,12 @@
     run* find_run(
         worker_index index,
         base::task_id const& task,
-        platform::attempt_number attempt);
+        formats::attempt_number attempt);
     run* find_run(run_serial serial);
-    void apply_entry(worker_index index, platform::run_entry const& entry);
+    void apply_entry(worker_index index, formats::run_entry const& entry);
     void confirm_run(run& value);
-    void end_run(run& value, platform::run_entry const& entry, bool is_lost);
-    void record_end(run& value, platform::run_entry const& entry, bool is_lost);
+    void end_run(run& value, formats::run_entry const& entry, bool is_lost);
+    void record_end(run& value, formats::run_entry const& entry, bool is_lost);
     void drop_run(run_serial serial);
     void settle_end(pending_record const& settled);
     void refuse_start(run& value, char const* why);
@@ -216,7 +216,7 @@
     void settle_inbox(pending_record& settled);
     void settle_cancel(pending_record& settled);
     void settle_move(pending_record& settled);
-    void take_inbox_row(platform::row const& row);
+    void take_inbox_row(formats::row const& row);
     void undo(pending_record& refused, reply_status status);
     task_index add_task(task_record& durable, base::instant submitted);
     void remove_task(task_index index);
@@ -247,7 +247,7 @@
     void drop_reservation(task_index index);
     void serve_reservations();
     [[nodiscard]] base::duration
-    expected_free(worker_index index, platform::resources const& size) const;
+    expected_free(worker_index index, formats::resources const& size) const;
 
     // placement.cpp: choice of the worker.
     bool place(task_index index);
@@ -270,7 +270,7 @@
     [[nodiscard]] double victim_cost(run const& value) const;
     bool choose_victims(
         worker_index index,
-        platform::resources const& size,
+        formats::resources const& size,
         bool is_urgent,
         std::vector<run_serial>& victims,
         double& cost) const;
--- a/libs/batch/src/entities.hpp
+++ b/libs/batch/src/entities.hpp
@@ -7,7 +7,7 @@
 
 #include "foxtaillift/base/clock.hpp"
 #include "foxtaillift/batch/records.hpp"
-#include "foxtaillift/platform/worker_agent.hpp"
+#include "foxtaillift/formats/worker_agent.hpp"
 
 #include <cstdint>
 #include <deque>
@@ -50,13 +50,13 @@
     run_serial serial = 0;
     base::task_id task_name;
     task_index task = no_index; ///< whose current run this is
-    platform::attempt_number attempt = 0;
+    formats::attempt_number attempt = 0;
     worker_index worker = 0;
     std::uint32_t task_class = 0;
     team_index team = no_index;
     std::uint32_t rack = 0; ///< of the worker when the run was counted
     std::uint32_t failure_domain = 0;
-    platform::resources size;
+    formats::resources size;
     run_phase phase = run_phase::starting;
     end_reason reason = end_reason::none;
     bool is_urgent = false;
@@ -91,7 +91,7 @@
 {
     task_record* durable = nullptr; ///< null while the entry is unused
     task_state state = task_state::accepted;
-    platform::attempt_number attempt = 0; ///< highest used or known
+    formats::attempt_number attempt = 0; ///< highest used or known
     std::uint32_t task_class = 0;
     team_index team = 0;
     run_serial current_run = 0;
@@ -162,7 +162,7 @@
 struct worker
 {
     base::worker_id id;
-    platform::worker_entry entry;
+    formats::worker_entry entry;
     bool is_used = false; ///< false: the slot may be reused
     bool is_listed = false;
     bool is_joined = false; ///< the joined record is durable
@@ -216,8 +216,8 @@
     std::vector<std::uint64_t> requests; ///< to reply to
     run_serial ended_run = 0;
     base::instant submitted;
-    std::vector<platform::row_condition> conditions;
-    std::vector<platform::row_write> writes;
+    std::vector<formats::row_condition> conditions;
+    std::vector<formats::row_write> writes;
 };
 
 /// A command that was sent and not answered.
--- a/libs/batch/src/feasibility_index.cpp
+++ b/libs/batch/src/feasibility_index.cpp
@@ -9,13 +9,13 @@
 namespace
 {
 
-constexpr platform::resources nothing{-1, -1, -1};
+constexpr formats::resources nothing{-1, -1, -1};
 // Bounds the cost of a search among workers that have either processors or
 // memory left, but not both.
 constexpr std::size_t max_visits = 2'048;
 
-platform::resources
-maxima(platform::resources const& a, platform::resources const& b)
+formats::resources
+maxima(formats::resources const& a, formats::resources const& b)
 {
     return {
         std::max(a.processors, b.processors),
@@ -32,7 +32,7 @@
         width *= 2;
     }
     if (width != this->leaves) {
-        std::vector<platform::resources> wider(std::size_t{2} * width, nothing);
+        std::vector<formats::resources> wider(std::size_t{2} * width, nothing);
         for (std::uint32_t i = 0; i < this->count; ++i) {
             wider[width + i] = this->nodes[this->leaves + i];
         }
@@ -52,7 +52,7 @@
 }
 
 void feasibility_index::set(
-    std::uint32_t worker, platform::resources const& free)
+    std::uint32_t worker, formats::resources const& free)
 {
     if (worker >= this->count) {
         this->grow(worker + 1);
@@ -68,18 +68,18 @@
     }
 }
 
-platform::resources feasibility_index::largest() const
+formats::resources feasibility_index::largest() const
 {
     return this->count == 0 ? nothing : this->nodes[1];
 }
 
-bool feasibility_index::may_fit(platform::resources const& size) const
+bool feasibility_index::may_fit(formats::resources const& size) const
 {
     return this->count != 0 && size.fits_in(this->nodes[1]);
 }
 
 void feasibility_index::find(
-    platform::resources const& size,
+    formats::resources const& size,
     std::uint32_t start,
     std::size_t limit,
     std::vector<std::uint32_t>& out) const
--- a/libs/batch/src/feasibility_index.hpp
+++ b/libs/batch/src/feasibility_index.hpp
@@ -1,7 +1,7 @@
 /// Finds workers whose free resources hold a task, without a scan of all.
 #pragma once
 
-#include "foxtaillift/platform/hosts.hpp"
+#include "foxtaillift/formats/hosts.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -19,27 +19,27 @@
 {
 public:
     /// Grows to hold `worker`.
-    void set(std::uint32_t worker, platform::resources const& free);
+    void set(std::uint32_t worker, formats::resources const& free);
 
     /// False only if no worker can hold `size`.
-    [[nodiscard]] bool may_fit(platform::resources const& size) const;
+    [[nodiscard]] bool may_fit(formats::resources const& size) const;
 
     /// Appends up to `limit` workers that hold `size`, in circular order from
     /// `start`.
     void find(
-        platform::resources const& size,
+        formats::resources const& size,
         std::uint32_t start,
         std::size_t limit,
         std::vector<std::uint32_t>& out) const;
 
     /// Largest amount of each resource, not necessarily on one worker.
-    [[nodiscard]] platform::resources largest() const;
+    [[nodiscard]] formats::resources largest() const;
     [[nodiscard]] std::uint32_t size() const { return this->count; }
 
 private:
     struct search
     {
-        platform::resources const& size;
+        formats::resources const& size;
         std::uint32_t first;
         std::uint32_t last;
         std::size_t limit;
@@ -57,7 +57,7 @@
 
     std::uint32_t leaves = 0;
     std::uint32_t count = 0;
-    std::vector<platform::resources> nodes; ///< node 1 is the root
+    std::vector<formats::resources> nodes; ///< node 1 is the root
 };
 
 } // namespace foxtaillift::batch
--- a/libs/batch/src/fleet.cpp
+++ b/libs/batch/src/fleet.cpp
@@ -60,7 +60,7 @@
     own.is_pass_needed = true;
 }
 
-void cell_state::list_worker(platform::worker_entry const& entry)
+void cell_state::list_worker(formats::worker_entry const& entry)
 {
     auto const index = this->add_worker(entry.worker);
     if (index == no_index) {
@@ -79,7 +79,7 @@
         target.services.push_back(this->services.number(
             service.str(), interference_model::max_services, shared));
     }
-    if (entry.state == platform::worker_state::leaving) {
+    if (entry.state == formats::worker_state::leaving) {
         this->log(base::event_line{"worker_leaving"}.add("worker", target.id));
     }
 }
@@ -88,10 +88,9 @@
 {
     auto& target = this->owned.workers[index];
     auto const& settings = this->options.settings;
-    platform::resources limit;
-    platform::resources hole;
-    if (target.is_listed &&
-        target.entry.state == platform::worker_state::live) {
+    formats::resources limit;
+    formats::resources hole;
+    if (target.is_listed && target.entry.state == formats::worker_state::live) {
         auto const& capacity = target.entry.capacity;
         auto const share = [](std::int64_t amount, double reserve) {
             return static_cast<std::int64_t>(
@@ -126,7 +125,7 @@
     if (!one.is_listed) {
         return "not in the platform's list";
     }
-    if (one.entry.state == platform::worker_state::leaving) {
+    if (one.entry.state == formats::worker_state::leaving) {
         return "leaving";
     }
     if (one.is_draining) {
--- a/libs/batch/src/outbox.cpp
+++ b/libs/batch/src/outbox.cpp
@@ -76,14 +76,14 @@
     }
     own.commit_id = 0;
     switch (input.status) {
-    case platform::transact_status::committed:
+    case formats::transact_status::committed:
         this->commit_done();
         break;
-    case platform::transact_status::conflict:
+    case formats::transact_status::conflict:
         this->commit_conflict(input);
         break;
-    case platform::transact_status::rejected:
-    case platform::transact_status::unknown:
+    case formats::transact_status::rejected:
+    case formats::transact_status::unknown:
         this->commit_refused(input);
         break;
     }
--- a/libs/batch/src/queueing.cpp
+++ b/libs/batch/src/queueing.cpp
@@ -76,7 +76,7 @@
     // Queued tasks that fit no more: only the sizes decide, so that each
     // distinct one is evaluated once.
     std::vector<task_index> lost;
-    std::vector<std::pair<platform::resources, bool>> fitting;
+    std::vector<std::pair<formats::resources, bool>> fitting;
     for (task_index index = 0; index < own.tasks.size(); ++index) {
         auto& task = own.tasks[index];
         if (!task.is_in_queue) {
@@ -222,7 +222,7 @@
 }
 
 base::duration cell_state::expected_free(
-    worker_index index, platform::resources const& size) const
+    worker_index index, formats::resources const& size) const
 {
     auto const& own = this->owned;
     std::vector<std::pair<base::duration, run const*>> ends;
--- a/libs/batch/src/records.cpp
+++ b/libs/batch/src/records.cpp
@@ -98,7 +98,7 @@
     }
     if (type == "started") {
         return started_record{
-            task_of(in), in.at("attempt").get<platform::attempt_number>(),
+            task_of(in), in.at("attempt").get<formats::attempt_number>(),
             worker_of(in)};
     }
     if (type == "ended") {
@@ -122,7 +122,7 @@
     }
     if (type == "attempts_skipped") {
         return attempts_skipped_record{
-            in.at("epoch").get<platform::epoch_number>()};
+            in.at("epoch").get<formats::epoch_number>()};
     }
     throw base::error(
         base::error_code::corrupt_data, "unknown record type '" + type + "'");
--- a/libs/batch/src/recovery.cpp
+++ b/libs/batch/src/recovery.cpp
@@ -152,11 +152,11 @@
         return;
     }
     target.adopt_request = 0;
-    if (input.status == platform::agent_status::stale_epoch) {
+    if (input.status == formats::agent_status::stale_epoch) {
         this->lose_cell("worker " + target.id.str() + " has a newer epoch");
         return;
     }
-    if (input.status != platform::agent_status::done) {
+    if (input.status != formats::agent_status::done) {
         return; // tried again after adopt_retry
     }
     this->apply_audit(index, input);
@@ -200,10 +200,10 @@
             }
             continue;
         }
-        platform::run_entry gone;
+        formats::run_entry gone;
         gone.task = value->task_name;
         gone.attempt = value->attempt;
-        gone.state = platform::run_state::stopped;
+        gone.state = formats::run_state::stopped;
         gone.message = "the worker does not know the run any more";
         this->end_run(*value, gone, true);
     }
@@ -219,7 +219,7 @@
 }
 
 void cell_state::audit_entry(
-    worker_index index, platform::run_entry const& entry)
+    worker_index index, formats::run_entry const& entry)
 {
     auto& own = this->owned;
     if (this->find_run(index, entry.task, entry.attempt) != nullptr) {
@@ -239,8 +239,8 @@
             return;
         }
     }
-    bool const has_ended = entry.state != platform::run_state::running &&
-                           entry.state != platform::run_state::checkpointing;
+    bool const has_ended = entry.state != formats::run_state::running &&
+                           entry.state != formats::run_state::checkpointing;
     if (has_ended) {
         this->acknowledge_unknown(index, entry);
     } else {
@@ -249,7 +249,7 @@
 }
 
 void cell_state::adopt_run(
-    worker_index index, task_index place, platform::run_entry const& entry)
+    worker_index index, task_index place, formats::run_entry const& entry)
 {
     auto& own = this->owned;
     auto& task = own.tasks[place];
@@ -274,8 +274,7 @@
     this->apply_entry(index, entry);
 }
 
-void cell_state::add_orphan(
-    worker_index index, platform::run_entry const& entry)
+void cell_state::add_orphan(worker_index index, formats::run_entry const& entry)
 {
     auto& value = this->add_run(index, entry.task);
     value.attempt = entry.attempt;
@@ -296,9 +295,9 @@
 }
 
 void cell_state::acknowledge_unknown(
-    worker_index index, platform::run_entry const& entry)
+    worker_index index, formats::run_entry const& entry)
 {
-    if (entry.state == platform::run_state::finished &&
+    if (entry.state == formats::run_state::finished &&
         this->owned.task_by_id.contains(entry.task)) {
         ++this->counters.late_completions;
     }
--- a/libs/batch/src/resource_ledger.cpp
+++ b/libs/batch/src/resource_ledger.cpp
@@ -8,11 +8,11 @@
 namespace
 {
 
-constexpr platform::resources nothing{-1, -1, -1};
+constexpr formats::resources nothing{-1, -1, -1};
 constexpr std::int64_t core = 1'000;
 
 /// A worker with less than a core counts as it is.
-std::int64_t whole_cores(platform::resources const& room)
+std::int64_t whole_cores(formats::resources const& room)
 {
     return room.processors < core ? room.processors
                                   : room.processors - room.processors % core;
@@ -34,8 +34,8 @@
 
 void resource_ledger::set_limit(
     worker_index worker,
-    platform::resources const& limit,
-    platform::resources const& hole)
+    formats::resources const& limit,
+    formats::resources const& hole)
 {
     auto& account = this->accounts[worker];
     this->limits -= account.limit;
@@ -44,7 +44,7 @@
     account.hole = hole;
     this->limits += limit;
     this->whole += whole_cores(limit - hole);
-    bool const is_gone = limit == platform::resources{};
+    bool const is_gone = limit == formats::resources{};
     this->urgent_limits.set(worker, is_gone ? nothing : limit);
     this->normal_limits.set(worker, is_gone ? nothing : limit - hole);
     this->publish(worker);
@@ -61,14 +61,14 @@
 }
 
 void resource_ledger::reserve(
-    worker_index worker, platform::resources const& size)
+    worker_index worker, formats::resources const& size)
 {
     this->accounts[worker].reserved = size;
     this->publish(worker);
 }
 
 bool resource_ledger::commit(
-    worker_index worker, platform::resources const& size, commitment kind)
+    worker_index worker, formats::resources const& size, commitment kind)
 {
     bool const is_new = kind != commitment::reported;
     auto const& room = kind == commitment::normal ? this->free_normal(worker)
@@ -83,7 +83,7 @@
 }
 
 void resource_ledger::release(
-    worker_index worker, platform::resources const& size)
+    worker_index worker, formats::resources const& size)
 {
     auto& account = this->accounts[worker];
     if (!size.fits_in(account.committed)) {
@@ -96,13 +96,13 @@
     this->publish(worker);
 }
 
-platform::resources resource_ledger::free_normal(worker_index worker) const
+formats::resources resource_ledger::free_normal(worker_index worker) const
 {
     auto const& account = this->accounts[worker];
     return account.limit - account.hole - account.committed - account.reserved;
 }
 
-platform::resources resource_ledger::free_urgent(worker_index worker) const
+formats::resources resource_ledger::free_urgent(worker_index worker) const
 {
     auto const& account = this->accounts[worker];
     return account.limit - account.committed;
--- a/libs/batch/src/resource_ledger.hpp
+++ b/libs/batch/src/resource_ledger.hpp
@@ -3,7 +3,7 @@
 
 #include "feasibility_index.hpp"
 
-#include "foxtaillift/platform/hosts.hpp"
+#include "foxtaillift/formats/hosts.hpp"
 
 #include <cstdint>
 #include <vector>
@@ -31,43 +31,42 @@
     /// `hole`: part of it that only urgent tasks may use.
     void set_limit(
         worker_index worker,
-        platform::resources const& limit,
-        platform::resources const& hole);
+        formats::resources const& limit,
+        formats::resources const& hole);
     /// Workers that are closed are not found, but may still be committed.
     /// Returns true if this changes anything.
     bool set_open(worker_index worker, bool is_open);
     /// Keeps room for one waiting task; replaces an earlier reservation.
-    void reserve(worker_index worker, platform::resources const& size);
+    void reserve(worker_index worker, formats::resources const& size);
 
     /// The only function that adds to a commitment. Refuses an overdraft,
     /// except for runs that the worker reports, which are facts.
     [[nodiscard]] bool commit(
-        worker_index worker, platform::resources const& size, commitment kind);
-    void release(worker_index worker, platform::resources const& size);
+        worker_index worker, formats::resources const& size, commitment kind);
+    void release(worker_index worker, formats::resources const& size);
 
-    [[nodiscard]] platform::resources free_normal(worker_index worker) const;
-    [[nodiscard]] platform::resources free_urgent(worker_index worker) const;
-    [[nodiscard]] platform::resources const& limit(worker_index worker) const
+    [[nodiscard]] formats::resources free_normal(worker_index worker) const;
+    [[nodiscard]] formats::resources free_urgent(worker_index worker) const;
+    [[nodiscard]] formats::resources const& limit(worker_index worker) const
     {
         return this->accounts[worker].limit;
     }
-    [[nodiscard]] platform::resources const&
-    committed(worker_index worker) const
+    [[nodiscard]] formats::resources const& committed(worker_index worker) const
     {
         return this->accounts[worker].committed;
     }
-    [[nodiscard]] platform::resources const& hole(worker_index worker) const
+    [[nodiscard]] formats::resources const& hole(worker_index worker) const
     {
         return this->accounts[worker].hole;
     }
-    [[nodiscard]] platform::resources const& total_limit() const
+    [[nodiscard]] formats::resources const& total_limit() const
     {
         return this->limits;
     }
     /// Processors without the parts kept for urgent tasks, in whole cores of
     /// each worker: a task of a core fits into no sum of smaller parts.
     [[nodiscard]] std::int64_t whole_processors() const { return this->whole; }
-    [[nodiscard]] platform::resources const& total_committed() const
+    [[nodiscard]] formats::resources const& total_committed() const
     {
         return this->total;
     }
@@ -86,19 +85,19 @@
 private:
     struct worker_account
     {
-        platform::resources limit;
-        platform::resources hole;
-        platform::resources committed;
-        platform::resources reserved;
+        formats::resources limit;
+        formats::resources hole;
+        formats::resources committed;
+        formats::resources reserved;
         bool is_open = false;
     };
 
     void publish(worker_index worker);
 
     std::vector<worker_account> accounts;
-    platform::resources limits;
+    formats::resources limits;
     std::int64_t whole = 0;
-    platform::resources total;
+    formats::resources total;
     feasibility_index normal_index;
     feasibility_index urgent_index;
     feasibility_index normal_limits;
--- a/libs/batch/src/run_ends.cpp
+++ b/libs/batch/src/run_ends.cpp
@@ -9,10 +9,10 @@
 {
 
 void cell_state::end_run(
-    run& value, platform::run_entry const& entry, bool is_lost)
+    run& value, formats::run_entry const& entry, bool is_lost)
 {
     bool const is_discarded =
-        is_lost || entry.state == platform::run_state::stopped;
+        is_lost || entry.state == formats::run_state::stopped;
     if (is_discarded && value.reason != end_reason::cancelled) {
         this->counters.discarded_work_ms += static_cast<std::uint64_t>(
             std::max<std::int64_t>((this->now - value.checkpointed).ms, 0));
@@ -29,7 +29,7 @@
         this->record_end(value, entry, is_lost);
         return;
     }
-    if (entry.state == platform::run_state::finished) {
+    if (entry.state == formats::run_state::finished) {
         ++this->counters.late_completions;
     }
     value.may_be_acknowledged = true;
@@ -39,9 +39,9 @@
 }
 
 void cell_state::record_end(
-    run& value, platform::run_entry const& entry, bool is_lost)
+    run& value, formats::run_entry const& entry, bool is_lost)
 {
-    using platform::run_state;
+    using formats::run_state;
     auto& own = this->owned;
     auto& task = own.tasks[value.task];
     auto& on = own.workers[value.worker];
@@ -91,7 +91,7 @@
                   .add("task", value.task_name)
                   .add("attempt", value.attempt)
                   .add("worker", on.id)
-                  .add("state", platform::to_string(entry.state))
+                  .add("state", formats::to_string(entry.state))
                   .add("lost", is_lost)
                   .add("next", to_string(ended.next))
                   .add("reason", entry.message));
--- a/libs/batch/src/runs.cpp
+++ b/libs/batch/src/runs.cpp
@@ -52,7 +52,7 @@
 run* cell_state::find_run(
     worker_index index,
     base::task_id const& task,
-    platform::attempt_number attempt)
+    formats::attempt_number attempt)
 {
     for (auto const serial : this->owned.workers[index].runs) {
         auto& value = this->owned.runs.at(serial);
@@ -103,7 +103,7 @@
     auto& own = this->owned;
     auto const& task = own.tasks[value.task];
     auto const& spec = task.durable->spec;
-    platform::start_request message;
+    formats::start_request message;
     message.cell = own.cell;
     message.epoch = own.epoch;
     message.task = value.task_name;
@@ -130,7 +130,7 @@
         ++this->counters.stale_answers;
         return;
     }
-    if (input.status == platform::agent_status::stale_epoch) {
+    if (input.status == formats::agent_status::stale_epoch) {
         this->lose_cell(
             "worker " + input.worker.str() + " refused a start: stale epoch");
         return;
@@ -141,7 +141,7 @@
         return;
     }
     switch (input.status) {
-    case platform::agent_status::done:
+    case formats::agent_status::done:
         own.workers[found->second].unanswered = 0;
         if (input.run) {
             this->apply_entry(found->second, *input.run);
@@ -149,14 +149,14 @@
             this->confirm_run(*value);
         }
         break;
-    case platform::agent_status::insufficient_capacity:
+    case formats::agent_status::insufficient_capacity:
         this->refuse_start(*value, "the worker has too little capacity");
         break;
-    case platform::agent_status::refused:
+    case formats::agent_status::refused:
         this->refuse_start(*value, "the worker refused the start");
         break;
-    case platform::agent_status::unknown:
-    case platform::agent_status::stale_epoch:
+    case formats::agent_status::unknown:
+    case formats::agent_status::stale_epoch:
         value->had_unknown_start = true;
         value->next_step = this->now + this->options.start_retry;
         this->miss_answer(found->second);
@@ -226,14 +226,14 @@
 }
 
 void cell_state::apply_entry(
-    worker_index index, platform::run_entry const& entry)
+    worker_index index, formats::run_entry const& entry)
 {
     auto* value = this->find_run(index, entry.task, entry.attempt);
     if (value == nullptr || value->phase == run_phase::ended) {
         ++this->counters.stale_answers;
         return;
     }
-    using platform::run_state;
+    using formats::run_state;
     switch (entry.state) {
     case run_state::running:
         this->confirm_run(*value);
--- a/libs/batch/src/submissions.cpp
+++ b/libs/batch/src/submissions.cpp
@@ -196,7 +196,7 @@
     }
 }
 
-void cell_state::take_inbox_row(platform::row const& row)
+void cell_state::take_inbox_row(formats::row const& row)
 {
     auto& own = this->owned;
     auto task = decode_task(row.value);
--- a/libs/batch/src/team_queues.cpp
+++ b/libs/batch/src/team_queues.cpp
@@ -30,7 +30,7 @@
 }
 
 /// The first resource of which `wanted` is above the quota, or null.
-char const* exceeded(platform::resources const& wanted, team_quota const& quota)
+char const* exceeded(formats::resources const& wanted, team_quota const& quota)
 {
     if (static_cast<double>(wanted.processors) > quota.processors) {
         return "processors";
@@ -81,13 +81,13 @@
     }
 }
 
-void team_queues::add_used(team_index team, platform::resources const& size)
+void team_queues::add_used(team_index team, formats::resources const& size)
 {
     this->teams[team].used += size;
     this->update_share(team);
 }
 
-void team_queues::remove_used(team_index team, platform::resources const& size)
+void team_queues::remove_used(team_index team, formats::resources const& size)
 {
     this->teams[team].used -= size;
     this->update_share(team);
@@ -119,8 +119,7 @@
     state.share = share;
 }
 
-bool team_queues::may_use(
-    team_index team, platform::resources const& size) const
+bool team_queues::may_use(team_index team, formats::resources const& size) const
 {
     auto const& state = this->teams[team];
     if (state.quota.may_borrow) {
@@ -135,7 +134,7 @@
 }
 
 char const*
-team_queues::short_quota(team_index team, platform::resources const& size) const
+team_queues::short_quota(team_index team, formats::resources const& size) const
 {
     auto const& state = this->teams[team];
     return state.quota.may_borrow ? nullptr : exceeded(size, state.quota);
--- a/libs/batch/src/team_queues.hpp
+++ b/libs/batch/src/team_queues.hpp
@@ -4,7 +4,7 @@
 #include "foxtaillift/base/clock.hpp"
 #include "foxtaillift/base/identifier.hpp"
 #include "foxtaillift/batch/settings.hpp"
-#include "foxtaillift/platform/hosts.hpp"
+#include "foxtaillift/formats/hosts.hpp"
 
 #include <array>
 #include <cstddef>
@@ -60,22 +60,22 @@
     void erase(team_index team, queue_kind kind, queue_entry const& entry);
 
     /// Changes the resources that a team's runs hold.
-    void add_used(team_index team, platform::resources const& size);
-    void remove_used(team_index team, platform::resources const& size);
+    void add_used(team_index team, formats::resources const& size);
+    void remove_used(team_index team, formats::resources const& size);
 
     /// True if the team may start something of this size now.
     [[nodiscard]] bool
-    may_use(team_index team, platform::resources const& size) const;
+    may_use(team_index team, formats::resources const& size) const;
     /// False if the team's quota forbids the size for good.
     [[nodiscard]] bool
-    could_use(team_index team, platform::resources const& size) const
+    could_use(team_index team, formats::resources const& size) const
     {
         return this->short_quota(team, size) == nullptr;
     }
     /// The resource of which the quota is below the size for a team that may
     /// not borrow, or null.
     [[nodiscard]] char const*
-    short_quota(team_index team, platform::resources const& size) const;
+    short_quota(team_index team, formats::resources const& size) const;
 
     [[nodiscard]] order const& turn(queue_kind kind) const
     {
@@ -89,7 +89,7 @@
     {
         return this->teams[team].id;
     }
-    [[nodiscard]] platform::resources const& used(team_index team) const
+    [[nodiscard]] formats::resources const& used(team_index team) const
     {
         return this->teams[team].used;
     }
@@ -107,7 +107,7 @@
     {
         base::team_id id;
         team_quota quota;
-        platform::resources used;
+        formats::resources used;
         double share = 0;
         std::array<queue, 3> queues;
     };
--- a/libs/batch/src/upkeep.cpp
+++ b/libs/batch/src/upkeep.cpp
@@ -101,10 +101,10 @@
         }
         bool const is_over = this->now - value->lease_sent > this->lease_span();
         if (is_over) {
-            platform::run_entry gone;
+            formats::run_entry gone;
             gone.task = value->task_name;
             gone.attempt = value->attempt;
-            gone.state = platform::run_state::stopped;
+            gone.state = formats::run_state::stopped;
             gone.message = "the worker is unreachable and the lease ran out";
             this->end_run(*value, gone, true);
             continue;
@@ -131,7 +131,7 @@
     }
     bool const is_to_drain =
         on.is_draining ||
-        (on.is_listed && on.entry.state == platform::worker_state::leaving);
+        (on.is_listed && on.entry.state == formats::worker_state::leaving);
     if (value.phase == run_phase::running && is_to_drain &&
         value.task != no_index) {
         this->evict(value, end_reason::drain, this->options.checkpoint_limit);
@@ -257,12 +257,12 @@
         return; // the slot belongs to another worker now
     }
     this->request_due(command);
-    if (input.status == platform::agent_status::stale_epoch) {
+    if (input.status == formats::agent_status::stale_epoch) {
         this->lose_cell("worker " + input.worker.str() + " has a newer epoch");
         return;
     }
-    if (input.status != platform::agent_status::done) {
-        if (input.status == platform::agent_status::unknown) {
+    if (input.status != formats::agent_status::done) {
+        if (input.status == formats::agent_status::unknown) {
             this->miss_answer(command.worker);
         }
         return;
@@ -321,8 +321,8 @@
             continue;
         }
         used += static_cast<double>(one.used.processors) / 1000;
-        bool const is_over = one.state != platform::run_state::running &&
-                             one.state != platform::run_state::checkpointing;
+        bool const is_over = one.state != formats::run_state::running &&
+                             one.state != formats::run_state::checkpointing;
         if (is_over && on.link == worker_link::adopted) {
             // A report has no checkpoint name; a renewal answers with it and
             // renews nothing, because the run is over.
--- a/libs/batch/src/urgent.cpp
+++ b/libs/batch/src/urgent.cpp
@@ -105,7 +105,7 @@
 
 bool cell_state::choose_victims(
     worker_index index,
-    platform::resources const& size,
+    formats::resources const& size,
     bool is_urgent,
     std::vector<run_serial>& victims,
     double& cost) const
--- a/libs/batch/tests/decisions_test.cpp
+++ b/libs/batch/tests/decisions_test.cpp
@@ -11,7 +11,7 @@
 namespace
 {
 
-constexpr platform::resources machine{16'000, 60'000, 0};
+constexpr formats::resources machine{16'000, 60'000, 0};
 
 struct ready_cell : simulation
 {
--- a/libs/batch/tests/fake_worker.cpp
+++ b/libs/batch/tests/fake_worker.cpp
@@ -7,11 +7,11 @@
 namespace foxtaillift::batch
 {
 
-using platform::agent_status;
-using platform::run_state;
+using formats::agent_status;
+using formats::run_state;
 
 void run_judge::started(
-    platform::start_request const& request, std::string worker)
+    formats::start_request const& request, std::string worker)
 {
     ++this->starts;
     auto& counted = this->counts[request.task];
@@ -42,7 +42,7 @@
     }
 }
 
-fake_worker::fake_worker(platform::worker_entry described, run_judge& observer)
+fake_worker::fake_worker(formats::worker_entry described, run_judge& observer)
     : entry(std::move(described))
     , judge(observer)
 {}
@@ -53,9 +53,9 @@
            run.state != run_state::checkpointing;
 }
 
-platform::resources fake_worker::used() const
+formats::resources fake_worker::used() const
 {
-    platform::resources sum;
+    formats::resources sum;
     for (auto const& [key, run] : this->known) {
         if (!is_over(run)) {
             sum += run.request.size;
@@ -77,9 +77,9 @@
     return sum;
 }
 
-platform::run_entry fake_worker::describe(fake_run const& run) const
+formats::run_entry fake_worker::describe(fake_run const& run) const
 {
-    platform::run_entry out;
+    formats::run_entry out;
     out.task = run.request.task;
     out.attempt = run.request.attempt;
     out.state = run.state;
@@ -94,7 +94,7 @@
 }
 
 agent_status fake_worker::adopt(
-    platform::adopt_request const& request, platform::adopt_answer& out)
+    formats::adopt_request const& request, formats::adopt_answer& out)
 {
     if (request.epoch < this->epoch) {
         return agent_status::stale_epoch;
@@ -110,7 +110,7 @@
 }
 
 agent_status fake_worker::start(
-    platform::start_request const& request, platform::run_entry& out)
+    formats::start_request const& request, formats::run_entry& out)
 {
     if (request.epoch < this->epoch) {
         return agent_status::stale_epoch;
@@ -154,8 +154,8 @@
 
 agent_status fake_worker::runs(
     std::string_view verb,
-    platform::runs_request const& request,
-    platform::runs_answer& out)
+    formats::runs_request const& request,
+    formats::runs_answer& out)
 {
     if (request.epoch < this->epoch) {
         return agent_status::stale_epoch;
@@ -248,12 +248,12 @@
                          // asks of an agent
 }
 
-platform::usage_report fake_worker::report()
+formats::usage_report fake_worker::report()
 {
-    platform::usage_report out;
+    formats::usage_report out;
     out.worker = this->entry.worker;
     out.sequence = ++this->sequence;
-    auto const measure = [this](platform::resources size) {
+    auto const measure = [this](formats::resources size) {
         for (auto* amount : {&size.processors, &size.memory_mb}) {
             *amount = static_cast<std::int64_t>(
                 static_cast<double>(*amount) * this->usage_share);
@@ -264,7 +264,7 @@
     for (auto const& [key, run] : this->known) {
         out.runs.push_back(
             {run.request.task, run.request.attempt, run.state,
-             is_over(run) ? platform::resources{} : measure(run.request.size),
+             is_over(run) ? formats::resources{} : measure(run.request.size),
              0});
     }
     return out;
--- a/libs/batch/tests/fake_worker.hpp
+++ b/libs/batch/tests/fake_worker.hpp
@@ -2,8 +2,8 @@
 #pragma once
 
 #include "foxtaillift/base/clock.hpp"
-#include "foxtaillift/platform/hosts.hpp"
-#include "foxtaillift/platform/worker_agent.hpp"
+#include "foxtaillift/formats/hosts.hpp"
+#include "foxtaillift/formats/worker_agent.hpp"
 
 #include <cstdint>
 #include <map>
@@ -17,7 +17,7 @@
 class run_judge
 {
 public:
-    void started(platform::start_request const& request, std::string worker);
+    void started(formats::start_request const& request, std::string worker);
     void ended(base::task_id const& task, std::string const& worker);
 
     /// What the workers did for one task.
@@ -38,37 +38,37 @@
     struct place
     {
         std::string worker;
-        platform::attempt_number attempt = 0;
+        formats::attempt_number attempt = 0;
     };
     std::map<base::task_id, place> running;
-    std::map<base::task_id, platform::attempt_number> highest;
+    std::map<base::task_id, formats::attempt_number> highest;
 };
 
 /// The payload of a task is its true run time in ms; `fail` fails anywhere.
 class fake_worker
 {
 public:
-    fake_worker(platform::worker_entry entry, run_judge& judge);
+    fake_worker(formats::worker_entry entry, run_judge& judge);
 
-    platform::agent_status
-    adopt(platform::adopt_request const& request, platform::adopt_answer& out);
-    platform::agent_status
-    start(platform::start_request const& request, platform::run_entry& out);
-    platform::agent_status runs(
+    formats::agent_status
+    adopt(formats::adopt_request const& request, formats::adopt_answer& out);
+    formats::agent_status
+    start(formats::start_request const& request, formats::run_entry& out);
+    formats::agent_status runs(
         std::string_view verb,
-        platform::runs_request const& request,
-        platform::runs_answer& out);
-    platform::usage_report report();
+        formats::runs_request const& request,
+        formats::runs_answer& out);
+    formats::usage_report report();
     /// Moves its runs on to this time.
     void advance(base::instant to);
     /// Forgets everything, as after a reboot.
     void restart();
-    [[nodiscard]] platform::resources used() const;
+    [[nodiscard]] formats::resources used() const;
     [[nodiscard]] double
     harm(std::map<std::string, double> const& by_class) const;
     [[nodiscard]] bool is_idle() const { return this->known.empty(); }
 
-    platform::worker_entry entry;
+    formats::worker_entry entry;
     bool is_up = true;
     bool is_reachable = true;
     bool fails_everything = false;
@@ -80,8 +80,8 @@
 private:
     struct fake_run
     {
-        platform::start_request request;
-        platform::run_state state = platform::run_state::running;
+        formats::start_request request;
+        formats::run_state state = formats::run_state::running;
         double left = 0;
         double throttle = 1;
         std::string checkpoint;
@@ -92,16 +92,15 @@
         bool is_failing = false;
     };
 
-    [[nodiscard]] platform::run_entry describe(fake_run const& run) const;
+    [[nodiscard]] formats::run_entry describe(fake_run const& run) const;
     void move_on(fake_run& run, base::instant to);
-    void end(fake_run& run, platform::run_state state);
+    void end(fake_run& run, formats::run_state state);
     static bool is_over(fake_run const& run);
 
     run_judge& judge;
-    platform::epoch_number epoch = 0;
-    std::map<std::pair<base::task_id, platform::attempt_number>, fake_run>
-        known;
-    std::map<base::task_id, platform::attempt_number> seen;
+    formats::epoch_number epoch = 0;
+    std::map<std::pair<base::task_id, formats::attempt_number>, fake_run> known;
+    std::map<base::task_id, formats::attempt_number> seen;
     base::instant now;
     std::uint64_t sequence = 0;
 };
--- a/libs/batch/tests/invariants.hpp
+++ b/libs/batch/tests/invariants.hpp
@@ -15,7 +15,7 @@
     auto const& own = state.owned;
     for (worker_index i = 0; i < own.workers.size(); ++i) {
         auto const& on = own.workers[i];
-        platform::resources sum;
+        formats::resources sum;
         for (auto const serial : on.runs) {
             auto const& value = own.runs.at(serial);
             if (value.phase != run_phase::ended) {
--- a/libs/batch/tests/life_cycle_test.cpp
+++ b/libs/batch/tests/life_cycle_test.cpp
@@ -9,7 +9,7 @@
 namespace
 {
 
-constexpr platform::resources machine{16'000, 60'000, 0};
+constexpr formats::resources machine{16'000, 60'000, 0};
 
 } // namespace
 
--- a/libs/batch/tests/models_test.cpp
+++ b/libs/batch/tests/models_test.cpp
@@ -33,14 +33,14 @@
 {
     base::random_engine random{5};
     feasibility_index index;
-    std::vector<platform::resources> free(300);
+    std::vector<formats::resources> free(300);
     for (int step = 0; step < 3'000; ++step) {
         auto const worker = base::uniform_below(random, 300);
         free[worker] = {
             base::uniform_below(random, 16), base::uniform_below(random, 16),
             base::uniform_below(random, 3)};
         index.set(worker, free[worker]);
-        platform::resources const size{
+        formats::resources const size{
             base::uniform_below(random, 18), base::uniform_below(random, 18),
             base::uniform_below(random, 3)};
         std::vector<std::uint32_t> found;
@@ -121,7 +121,7 @@
 {
     team_quota const quota{
         .processors = 100'000, .memory_mb = 64'000, .accelerators = 4};
-    std::vector<platform::resources> const large{
+    std::vector<formats::resources> const large{
         {1'000, 60'000, 0}, {1'000, 0, 3}, {1'000, 90'000, 0}, {1'000, 0, 6}};
     for (auto const& used : large) {
         CAPTURE(used.memory_mb);
--- a/libs/batch/tests/random_faults_test.cpp
+++ b/libs/batch/tests/random_faults_test.cpp
@@ -63,8 +63,8 @@
             worker.fails_everything = chance(0.3);
             break;
         default:
-            worker.entry.state = chance(0.5) ? platform::worker_state::live
-                                             : platform::worker_state::leaving;
+            worker.entry.state = chance(0.5) ? formats::worker_state::live
+                                             : formats::worker_state::leaving;
             sim.list_workers();
         }
     }
@@ -146,7 +146,7 @@
         for (auto& worker : sim.workers) {
             worker.is_reachable = true;
             worker.fails_everything = false;
-            worker.entry.state = platform::worker_state::live;
+            worker.entry.state = formats::worker_state::live;
             sim.send(
                 worker_ordered{worker.entry.worker, worker_order::release});
         }
--- a/libs/batch/tests/recovery_test.cpp
+++ b/libs/batch/tests/recovery_test.cpp
@@ -12,7 +12,7 @@
 namespace
 {
 
-constexpr platform::resources machine{8'000, 30'000, 0};
+constexpr formats::resources machine{8'000, 30'000, 0};
 
 void watch(simulation& sim, std::string& broken)
 {
--- a/libs/batch/tests/simulation.cpp
+++ b/libs/batch/tests/simulation.cpp
@@ -18,9 +18,9 @@
 
 } // namespace
 
-platform::transact_result fake_table::transact(commit const& wanted)
+formats::transact_result fake_table::transact(commit const& wanted)
 {
-    platform::transact_result result;
+    formats::transact_result result;
     for (auto const& condition : wanted.conditions) {
         auto const& row = this->rows[condition.key];
         auto const version = row.value ? row.version : 0;
@@ -29,7 +29,7 @@
         }
     }
     if (!result.rows.empty()) {
-        result.status = platform::transact_status::conflict;
+        result.status = formats::transact_status::conflict;
         return result;
     }
     for (auto const& write : wanted.writes) {
@@ -38,13 +38,13 @@
         row.value = write.value;
     }
     ++this->commits;
-    result.status = platform::transact_status::committed;
+    result.status = formats::transact_status::committed;
     return result;
 }
 
-std::vector<platform::row> fake_table::scan(std::string const& prefix) const
+std::vector<formats::row> fake_table::scan(std::string const& prefix) const
 {
-    std::vector<platform::row> found;
+    std::vector<formats::row> found;
     for (auto next = this->rows.lower_bound(prefix);
          next != this->rows.end() && next->first.starts_with(prefix); ++next) {
         if (next->second.value) {
@@ -62,11 +62,11 @@
     this->options.random_seed = seed + 1;
 }
 
-void simulation::add_workers(int count, platform::resources capacity)
+void simulation::add_workers(int count, formats::resources capacity)
 {
     for (int i = 0; i < count; ++i) {
         auto const number = std::to_string(this->workers.size());
-        platform::worker_entry entry;
+        formats::worker_entry entry;
         entry.worker = base::worker_id{"w" + number};
         entry.rack =
             base::rack_id{"r" + std::to_string(this->workers.size() / 8)};
@@ -260,7 +260,7 @@
     this->exchange(by, wanted.worker, [=](fake_worker* on) -> event {
         worker_adopted answer{wanted.request, wanted.worker, {}, {}};
         answer.status = on == nullptr
-                            ? platform::agent_status::unknown
+                            ? formats::agent_status::unknown
                             : on->adopt(wanted.message, answer.answer);
         return answer;
     });
@@ -275,12 +275,12 @@
             wanted.worker,
             wanted.message.task,
             wanted.message.attempt,
-            platform::agent_status::unknown,
+            formats::agent_status::unknown,
             {}};
         if (on != nullptr) {
-            platform::run_entry run;
+            formats::run_entry run;
             answer.status = on->start(wanted.message, run);
-            if (answer.status == platform::agent_status::done) {
+            if (answer.status == formats::agent_status::done) {
                 answer.run = run;
                 this->first_start.try_emplace(
                     wanted.message.task.str(), this->now);
@@ -295,9 +295,9 @@
 {
     this->exchange(by, wanted.worker, [=](fake_worker* on) -> event {
         runs_answered answer{
-            wanted.request, wanted.worker, platform::agent_status::unknown, {}};
+            wanted.request, wanted.worker, formats::agent_status::unknown, {}};
         if (on != nullptr) {
-            platform::runs_answer runs;
+            formats::runs_answer runs;
             answer.status =
                 on->runs(to_string(wanted.verb), wanted.message, runs);
             answer.runs = std::move(runs.runs);
@@ -312,9 +312,9 @@
         commit_finished answer;
         answer.commit = wanted.id;
         if (this->is_store_down) {
-            answer.status = platform::transact_status::rejected;
+            answer.status = formats::transact_status::rejected;
         } else if (by->epoch != this->epoch) {
-            answer.status = platform::transact_status::conflict;
+            answer.status = formats::transact_status::conflict;
             answer.rows.push_back({"owner/c1", this->epoch});
         } else {
             auto const result = this->table.transact(wanted);
--- a/libs/batch/tests/simulation.hpp
+++ b/libs/batch/tests/simulation.hpp
@@ -24,11 +24,11 @@
 {
     struct cell
     {
-        platform::row_version version = 0;
+        formats::row_version version = 0;
         std::optional<std::string> value;
     };
-    platform::transact_result transact(commit const& wanted);
-    std::vector<platform::row> scan(std::string const& prefix) const;
+    formats::transact_result transact(commit const& wanted);
+    std::vector<formats::row> scan(std::string const& prefix) const;
 
     std::map<std::string, cell> rows;
     std::uint64_t commits = 0;
@@ -39,7 +39,7 @@
 public:
     explicit simulation(std::uint32_t seed, scheduler_options options = {});
 
-    void add_workers(int count, platform::resources capacity);
+    void add_workers(int count, formats::resources capacity);
     /// Returns the request number, which the reply names.
     std::uint64_t submit(task_spec spec);
     /// A spec that runs for `ms`, with a new key.
@@ -111,7 +111,7 @@
     struct owner
     {
         cell_scheduler scheduler;
-        platform::epoch_number epoch = 0;
+        formats::epoch_number epoch = 0;
         bool is_paused = false;
         std::deque<event> missed;
     };
@@ -154,7 +154,7 @@
     scheduler_options options;
     std::shared_ptr<owner> active;
     std::shared_ptr<owner> paused;
-    platform::epoch_number epoch = 0;
+    formats::epoch_number epoch = 0;
     std::uint64_t order = 0;
     std::uint64_t next_key = 0;
     std::uint64_t next_request = 0;
--- a/libs/client/src/command_line.cpp
+++ b/libs/client/src/command_line.cpp
@@ -150,7 +150,7 @@
         show_history);
     auto* const diff =
         group->add_subcommand("diff", "Show what a file would change");
-    diff->add_option("FILE", values.path, "Edits, see docs/operations.md")
+    diff->add_option("FILE", values.path, "Edits, see docs/OPERATIONS.md")
         ->required();
     on_chosen(diff, values, [&values](auto const& use) {
         return show_difference(use, values.path);
--- a/libs/cluster/include/foxtaillift/cluster/configuration.hpp
+++ b/libs/cluster/include/foxtaillift/cluster/configuration.hpp
@@ -102,7 +102,7 @@
 struct configuration_rows_read
 {
     std::uint64_t request = 0;
-    platform::rows_result result = {};
+    formats::rows_result result = {};
 };
 
 struct configuration_object_finished
--- a/libs/cluster/include/foxtaillift/cluster/configuration_query.hpp
+++ b/libs/cluster/include/foxtaillift/cluster/configuration_query.hpp
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "foxtaillift/cluster/configuration_document.hpp"
-#include "foxtaillift/platform/hosts.hpp"
+#include "foxtaillift/formats/hosts.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -61,14 +61,14 @@
 /// Something that at least one worker must be able to run.
 struct fleet_need
 {
-    std::string name = {};         ///< "service cut-path", "class nesting"
-    std::string service = {};      ///< if not empty, the worker must have it
-    platform::resources size = {}; ///< left beside the services' reserve
+    std::string name = {};        ///< "service cut-path", "class nesting"
+    std::string service = {};     ///< if not empty, the worker must have it
+    formats::resources size = {}; ///< left beside the services' reserve
 };
 
 struct fleet_view
 {
-    std::vector<platform::worker_entry> workers = {};
+    std::vector<formats::worker_entry> workers = {};
     std::vector<fleet_need> needs = {};
 };
 
--- a/libs/cluster/include/foxtaillift/cluster/ownership.hpp
+++ b/libs/cluster/include/foxtaillift/cluster/ownership.hpp
@@ -72,14 +72,14 @@
 struct ownership_scan_finished
 {
     std::uint64_t request = 0;
-    platform::rows_result result = {};
+    formats::rows_result result = {};
 };
 
 /// Another part of the daemon had a write refused because of an owner row.
 struct owner_row_refused
 {
     base::cell_id cell = {};
-    platform::row_version version = 0; ///< that the table has
+    formats::row_version version = 0; ///< that the table has
 };
 
 /// A planned stop: hand over or release everything.
@@ -101,7 +101,7 @@
 struct scan_rows
 {
     std::uint64_t request = 0;
-    platform::scan_request content = {};
+    formats::scan_request content = {};
 };
 
 /// The cell is owned from now on: adopt its workers with `epoch`.
@@ -109,7 +109,7 @@
 {
     base::cell_id cell = {};
     std::uint64_t epoch = 0;
-    platform::row_version owner_row = 0;
+    formats::row_version owner_row = 0;
     bool is_handover = false; ///< the former owner stopped starting work
 };
 
@@ -172,7 +172,7 @@
 {
     base::cell_id cell = {};
     std::uint64_t epoch = 0;
-    platform::row_version owner_row = 0;
+    formats::row_version owner_row = 0;
     bool is_draining = false;
 };
 
--- a/libs/cluster/include/foxtaillift/cluster/ownership_messages.hpp
+++ b/libs/cluster/include/foxtaillift/cluster/ownership_messages.hpp
@@ -4,7 +4,7 @@
 
 #include "foxtaillift/base/identifier.hpp"
 #include "foxtaillift/cluster/msgpack_identifier.hpp"
-#include "foxtaillift/platform/table.hpp"
+#include "foxtaillift/formats/table.hpp"
 
 #include <cstdint>
 #include <string>
@@ -17,9 +17,9 @@
 {
     base::host_id from = {};
     base::cell_id cell = {};
-    std::uint64_t epoch = 0;             ///< of the present owner
-    platform::row_version owner_row = 0; ///< condition of the takeover
-    bool is_stopping = false;            ///< the owner is about to stop
+    std::uint64_t epoch = 0;            ///< of the present owner
+    formats::row_version owner_row = 0; ///< condition of the takeover
+    bool is_stopping = false;           ///< the owner is about to stop
     MSGPACK_DEFINE(from, cell, epoch, owner_row, is_stopping)
 };
 
--- a/libs/cluster/src/configuration_query.cpp
+++ b/libs/cluster/src/configuration_query.cpp
@@ -42,7 +42,7 @@
     return value;
 }
 
-bool has_service(platform::worker_entry const& worker, std::string const& name)
+bool has_service(formats::worker_entry const& worker, std::string const& name)
 {
     return std::any_of(
         worker.services.begin(), worker.services.end(),
@@ -51,11 +51,11 @@
 
 bool can_meet(
     configuration_document const& document,
-    platform::worker_entry const& worker,
+    formats::worker_entry const& worker,
     fleet_need const& need,
     std::int64_t wall_ms)
 {
-    if (worker.state != platform::worker_state::live ||
+    if (worker.state != formats::worker_state::live ||
         !is_in_service(document, worker.worker.view(), wall_ms) ||
         (!need.service.empty() && !has_service(worker, need.service))) {
         return false;
--- a/libs/cluster/src/configuration_state.hpp
+++ b/libs/cluster/src/configuration_state.hpp
@@ -99,9 +99,9 @@
     // The store (configuration_store.cpp).
     void want_read(context& call);
     void start_read(context& call);
-    void finish_read(platform::rows_result const& result, context& call);
+    void finish_read(formats::rows_result const& result, context& call);
     void take_rows(
-        std::vector<platform::row> const& rows,
+        std::vector<formats::row> const& rows,
         configuration_version head,
         context& call);
     void get_snapshot(configuration_version version, context& call);
@@ -148,7 +148,7 @@
     std::vector<base::host_id> peers;
     fleet_view fleet;
 
-    std::optional<platform::row_version> head_row;
+    std::optional<formats::row_version> head_row;
     std::optional<store_request> reading;
     bool is_read_wanted = true;
     bool must_announce = false; ///< tell all peers what the store had
--- a/libs/cluster/src/configuration_store.cpp
+++ b/libs/cluster/src/configuration_store.cpp
@@ -107,7 +107,7 @@
 }
 
 void configuration::state::finish_read(
-    platform::rows_result const& result, context& call)
+    formats::rows_result const& result, context& call)
 {
     auto const& head = result.rows.front();
     configuration_version version = 0;
@@ -147,7 +147,7 @@
 }
 
 void configuration::state::take_rows(
-    std::vector<platform::row> const& rows,
+    std::vector<formats::row> const& rows,
     configuration_version head,
     context& call)
 {
--- a/libs/cluster/src/ownership_cells.cpp
+++ b/libs/cluster/src/ownership_cells.cpp
@@ -133,7 +133,7 @@
         record.incarnation = this->incarnation;
         record.epoch = 1;
         record.operation = this->next_operation();
-        platform::row_version version = 0;
+        formats::row_version version = 0;
         if (found != this->owners.end()) {
             record.epoch = found->second.record.epoch + 1;
             version = found->second.version;
@@ -198,7 +198,7 @@
 void ownership::state::gain(
     base::cell_id const& cell,
     owner_record const& record,
-    platform::row_version version,
+    formats::row_version version,
     bool is_handover,
     context& call)
 {
--- a/libs/cluster/src/ownership_state.hpp
+++ b/libs/cluster/src/ownership_state.hpp
@@ -51,18 +51,18 @@
     struct host_view
     {
         host_record record;
-        platform::row_version version = 0;
+        formats::row_version version = 0;
         base::instant unchanged_since; ///< on the local clock
     };
     struct owner_view
     {
         owner_record record;
-        platform::row_version version = 0;
+        formats::row_version version = 0;
     };
     struct held_cell
     {
         std::uint64_t epoch = 0;
-        platform::row_version owner_row = 0;
+        formats::row_version owner_row = 0;
         /// Set while the cell is offered or released.
         std::optional<base::instant> draining_since;
         base::host_id offered_to;
@@ -94,7 +94,7 @@
         base::instant sent = {};
         base::instant started = {};
         std::optional<base::instant> last_success = {};
-        std::vector<platform::row> rows = {};
+        std::vector<formats::row> rows = {};
     };
 
     ownership_options options;
@@ -149,7 +149,7 @@
     void gain(
         base::cell_id const& cell,
         owner_record const& record,
-        platform::row_version version,
+        formats::row_version version,
         bool is_handover,
         context& call);
     void
@@ -183,7 +183,7 @@
     void log(std::string text, context& call);
 
     phase current = phase::starting;
-    platform::row_version own_row = 0;
+    formats::row_version own_row = 0;
     std::uint64_t renewals = 0;
     base::instant lease_from{};
     base::instant next_renewal{};
--- a/libs/cluster/tests/configuration_test.cpp
+++ b/libs/cluster/tests/configuration_test.cpp
@@ -135,7 +135,7 @@
     world.run_for(base::seconds(5));
     cluster::fleet_changed fleet;
     for (auto const* name : {"w1", "w2"}) {
-        foxtaillift::platform::worker_entry worker;
+        foxtaillift::formats::worker_entry worker;
         worker.worker = base::worker_id{name};
         worker.capacity = {32000, 125000, 0};
         worker.services.emplace_back("cut");
--- a/libs/cluster/tests/ownership_test.cpp
+++ b/libs/cluster/tests/ownership_test.cpp
@@ -116,7 +116,7 @@
     world.hosts[2]->stop();
     world.run_for(base::seconds(10));
     CHECK(world.hosts[2]->has_stopped);
-    foxtaillift::platform::scan_request request;
+    foxtaillift::formats::scan_request request;
     request.prefix = "owner/";
     for (auto const& row : world.table.scan_now(request).rows) {
         CHECK(cluster::parse_owner_record(row.value).host.empty());
--- a/libs/cluster/tests/simulation.cpp
+++ b/libs/cluster/tests/simulation.cpp
@@ -268,8 +268,8 @@
 }
 
 void simulation::observe(
-    platform::transaction const& transaction,
-    std::vector<platform::row_condition> const&)
+    formats::transaction const& transaction,
+    std::vector<formats::row_condition> const&)
 {
     for (auto const& write : transaction.writes) {
         if (write.key.starts_with("owner/")) {
--- a/libs/cluster/tests/simulation.hpp
+++ b/libs/cluster/tests/simulation.hpp
@@ -129,8 +129,8 @@
 
 private:
     void observe(
-        platform::transaction const& transaction,
-        std::vector<platform::row_condition> const& versions);
+        formats::transaction const& transaction,
+        std::vector<formats::row_condition> const& versions);
     void observe_owner(base::cell_id const& cell, std::string const& value);
     void observe_record(std::string const& key, std::string const& value);
 
--- a/libs/daemon/src/batch_settings.cpp
+++ b/libs/daemon/src/batch_settings.cpp
@@ -67,7 +67,7 @@
 };
 
 double share_of(
-    base::cell_id const& cell, std::vector<platform::worker_entry> const& fleet)
+    base::cell_id const& cell, std::vector<formats::worker_entry> const& fleet)
 {
     std::int64_t all = 0;
     std::int64_t here = 0;
@@ -83,7 +83,7 @@
 double reserve_of(
     cluster::configuration_document const& document,
     base::cell_id const& cell,
-    std::vector<platform::worker_entry> const& fleet,
+    std::vector<formats::worker_entry> const& fleet,
     std::int64_t wall_ms)
 {
     std::int64_t percent = 0;
@@ -106,7 +106,7 @@
 batch::scheduler_settings to_scheduler_settings(
     cluster::configuration_document const& document,
     base::cell_id const& cell,
-    std::vector<platform::worker_entry> const& fleet,
+    std::vector<formats::worker_entry> const& fleet,
     std::int64_t wall_ms)
 {
     batch::scheduler_settings out;
@@ -133,7 +133,7 @@
 void order_workers(
     cluster::configuration_document const& document,
     std::int64_t wall_ms,
-    std::vector<platform::worker_entry> const& workers,
+    std::vector<formats::worker_entry> const& workers,
     cell_driver& driver)
 {
     for (auto const& worker : workers) {
--- a/libs/daemon/src/batch_settings.hpp
+++ b/libs/daemon/src/batch_settings.hpp
@@ -5,7 +5,7 @@
 
 #include "foxtaillift/batch/settings.hpp"
 #include "foxtaillift/cluster/configuration_document.hpp"
-#include "foxtaillift/platform/hosts.hpp"
+#include "foxtaillift/formats/hosts.hpp"
 
 #include <cstdint>
 #include <vector>
@@ -17,14 +17,14 @@
 batch::scheduler_settings to_scheduler_settings(
     cluster::configuration_document const& document,
     base::cell_id const& cell,
-    std::vector<platform::worker_entry> const& fleet,
+    std::vector<formats::worker_entry> const& fleet,
     std::int64_t wall_ms);
 
 /// Tells a cell which of its workers are drained, quarantined or in service.
 void order_workers(
     cluster::configuration_document const& document,
     std::int64_t wall_ms,
-    std::vector<platform::worker_entry> const& workers,
+    std::vector<formats::worker_entry> const& workers,
     cell_driver& driver);
 
 } // namespace foxtaillift::daemon
--- a/libs/daemon/src/call_service.cpp
+++ b/libs/daemon/src/call_service.cpp
@@ -175,7 +175,7 @@
 {
     this->store.read(
         {std::move(key)},
-        [done = std::move(done)](platform::rows_result result) {
+        [done = std::move(done)](formats::rows_result result) {
             if (!result.is_answered || result.rows.size() != 1) {
                 done(routing::row_read_failed{});
                 return;
@@ -210,7 +210,7 @@
         content.level = store::priority::call_claim;
         routing::claim_row row{
             .operation = work.operation, .answer = {}, .version = 0};
-        platform::row_write write{key, {}};
+        formats::row_write write{key, {}};
         auto const now = this->shared.now();
         if (auto const* action =
                 std::get_if<routing::claim_store>(&work.work)) {
--- a/libs/daemon/src/cell_driver.cpp
+++ b/libs/daemon/src/cell_driver.cpp
@@ -39,7 +39,7 @@
           services.shared.control.get_executor(), [this] { this->read_head(); })
 {}
 
-void cell_driver::take(platform::epoch_number won)
+void cell_driver::take(formats::epoch_number won)
 {
     this->epoch = won;
     this->handle(batch::cell_taken{this->cell, won});
@@ -130,9 +130,9 @@
             this->address_of(worker),
             this->guarded(
                 [this, worker](
-                    transport::agent_result<platform::usage_report> result) {
+                    transport::agent_result<formats::usage_report> result) {
                     this->reporting.erase(worker);
-                    if (result.status == platform::agent_status::done) {
+                    if (result.status == formats::agent_status::done) {
                         this->handle(
                             batch::usage_reported{std::move(result.answer)});
                     }
@@ -149,7 +149,7 @@
     this->is_reading_inbox = true;
     this->services.store.scan_all(
         batch::inbox_prefix(this->cell),
-        this->guarded([this](platform::rows_result result) {
+        this->guarded([this](formats::rows_result result) {
             this->is_reading_inbox = false;
             if (result.is_answered && !result.rows.empty()) {
                 this->handle(batch::inbox_read{std::move(result.rows)});
@@ -169,8 +169,8 @@
         this->address_of(action.worker), action.message,
         this->guarded(
             [this, request = action.request, worker = action.worker](
-                transport::agent_result<platform::adopt_answer> result) {
-                if (result.status == platform::agent_status::done) {
+                transport::agent_result<formats::adopt_answer> result) {
+                if (result.status == formats::agent_status::done) {
                     this->adopted.insert(worker);
                     this->services.adopted(
                         worker, result.answer.calls_in_progress);
@@ -186,7 +186,7 @@
     if (!owned || owned->epoch != this->epoch) {
         // The table would refuse it; the loss of the cell follows.
         this->handle(batch::commit_finished{
-            action.id, platform::transact_status::rejected, {}});
+            action.id, formats::transact_status::rejected, {}});
         return;
     }
     store::submission content{
@@ -204,17 +204,17 @@
             batch::commit_finished event{id, {}, finished.rows};
             switch (finished.result) {
             case store::outcome::committed:
-                event.status = platform::transact_status::committed;
+                event.status = formats::transact_status::committed;
                 break;
             case store::outcome::conflict:
-                event.status = platform::transact_status::conflict;
+                event.status = formats::transact_status::conflict;
                 break;
             case store::outcome::rejected:
-                event.status = platform::transact_status::rejected;
+                event.status = formats::transact_status::rejected;
                 break;
             }
             bool const is_owner_refused =
-                event.status == platform::transact_status::conflict &&
+                event.status == formats::transact_status::conflict &&
                 store::version_in(finished, owner_key).has_value();
             this->handle(event);
             if (is_owner_refused) {
@@ -227,7 +227,7 @@
 {
     this->services.store.read(
         action.keys, this->guarded([this, request = action.request](
-                                       platform::rows_result result) {
+                                       formats::rows_result result) {
             this->handle(batch::rows_read{request, std::move(result)});
         }));
 }
--- a/libs/daemon/src/cell_driver.hpp
+++ b/libs/daemon/src/cell_driver.hpp
@@ -60,7 +60,7 @@
     cell_driver(cell_services services, base::cell_id cell);
 
     /// The cell was gained: replays its log and adopts its workers.
-    void take(platform::epoch_number epoch);
+    void take(formats::epoch_number epoch);
     void release();
 
     void set_workers();
@@ -81,7 +81,7 @@
 private:
     struct replay;
     using row_handler =
-        std::function<void(cell_driver&, std::vector<platform::row>)>;
+        std::function<void(cell_driver&, std::vector<formats::row>)>;
 
     void read_head();
     void
@@ -118,7 +118,7 @@
 
     cell_services services;
     base::cell_id cell;
-    platform::epoch_number epoch = 0;
+    formats::epoch_number epoch = 0;
     bool is_released = false;
     batch::cell_scheduler engine;
     wake_timer tick_timer;
--- a/libs/daemon/src/cell_replay.cpp
+++ b/libs/daemon/src/cell_replay.cpp
@@ -36,7 +36,7 @@
 void cell_driver::read_head()
 {
     auto on_read = [weak =
-                        this->weak_from_this()](platform::rows_result result) {
+                        this->weak_from_this()](formats::rows_result result) {
         auto const self = weak.lock();
         if (!self || self->is_released) {
             return;
@@ -88,7 +88,7 @@
 {
     this->scan_rows(
         batch::log_prefix(this->cell),
-        [progress](cell_driver& self, std::vector<platform::row> rows) {
+        [progress](cell_driver& self, std::vector<formats::row> rows) {
             progress->result.log = std::move(rows);
             self.read_inbox(progress);
         });
@@ -98,7 +98,7 @@
 {
     this->scan_rows(
         batch::inbox_prefix(this->cell),
-        [progress](cell_driver& self, std::vector<platform::row> rows) {
+        [progress](cell_driver& self, std::vector<formats::row> rows) {
             progress->result.inbox = std::move(rows);
             self.finish_replay(*progress);
         });
@@ -108,7 +108,7 @@
 {
     this->services.store.scan_all(
         prefix, [weak = this->weak_from_this(),
-                 done = std::move(done)](platform::rows_result result) {
+                 done = std::move(done)](formats::rows_result result) {
             auto const self = weak.lock();
             if (!self || self->is_released) {
                 return;
--- a/libs/daemon/src/cell_runs.cpp
+++ b/libs/daemon/src/cell_runs.cpp
@@ -43,7 +43,7 @@
                     worker,
                     task,
                     attempt,
-                    platform::agent_status::refused,
+                    formats::agent_status::refused,
                     {}});
             }));
         return;
@@ -53,10 +53,10 @@
         this->address_of(action.worker), message,
         this->guarded([this, request = action.request, worker = action.worker,
                        task = message.task, attempt = message.attempt](
-                          transport::agent_result<platform::run_entry> result) {
+                          transport::agent_result<formats::run_entry> result) {
             batch::start_answered event{request, worker,        task,
                                         attempt, result.status, {}};
-            if (result.status == platform::agent_status::done) {
+            if (result.status == formats::agent_status::done) {
                 event.run = std::move(result.answer);
             }
             this->handle(event);
@@ -71,7 +71,7 @@
         this->services.shared.post_control(this->guarded(
             [this, request = action.request, worker = action.worker] {
                 this->handle(batch::runs_answered{
-                    request, worker, platform::agent_status::unknown, {}});
+                    request, worker, formats::agent_status::unknown, {}});
             }));
         return;
     }
@@ -83,12 +83,12 @@
         action.message,
         this->guarded(
             [this, request = action.request, worker = action.worker](
-                transport::agent_result<platform::runs_answer> result) {
+                transport::agent_result<formats::runs_answer> result) {
                 // Only an agent that answers can refuse; one that cannot be
                 // reached counts as silent, or its leases would never end.
                 auto const status = result.is_sent
                                         ? result.status
-                                        : platform::agent_status::unknown;
+                                        : formats::agent_status::unknown;
                 this->handle(batch::runs_answered{
                     request, worker, status, std::move(result.answer.runs)});
             }));
--- a/libs/daemon/src/cell_set.cpp
+++ b/libs/daemon/src/cell_set.cpp
@@ -9,7 +9,7 @@
     : services(std::move(used))
 {}
 
-void cell_set::gain(base::cell_id const& cell, platform::epoch_number epoch)
+void cell_set::gain(base::cell_id const& cell, formats::epoch_number epoch)
 {
     this->lose(cell);
     auto const driver = std::make_shared<cell_driver>(this->services, cell);
--- a/libs/daemon/src/cell_set.hpp
+++ b/libs/daemon/src/cell_set.hpp
@@ -16,7 +16,7 @@
 public:
     explicit cell_set(cell_services services);
 
-    void gain(base::cell_id const& cell, platform::epoch_number epoch);
+    void gain(base::cell_id const& cell, formats::epoch_number epoch);
     void lose(base::cell_id const& cell);
 
     /// The platform's list changed.
--- a/libs/daemon/src/configuration_driver.cpp
+++ b/libs/daemon/src/configuration_driver.cpp
@@ -81,7 +81,7 @@
 }
 
 void configuration_driver::set_workers(
-    std::vector<platform::worker_entry> const& workers)
+    std::vector<formats::worker_entry> const& workers)
 {
     cluster::fleet_changed fleet;
     fleet.fleet.workers = workers;
@@ -130,7 +130,7 @@
 {
     this->store.read(
         action.keys,
-        [this, request = action.request](platform::rows_result result) {
+        [this, request = action.request](formats::rows_result result) {
             this->handle(
                 cluster::configuration_rows_read{request, std::move(result)});
         });
--- a/libs/daemon/src/configuration_driver.hpp
+++ b/libs/daemon/src/configuration_driver.hpp
@@ -36,7 +36,7 @@
     void handle(cluster::configuration_event const& event);
 
     /// The listed workers, which changes are checked against.
-    void set_workers(std::vector<platform::worker_entry> const& workers);
+    void set_workers(std::vector<formats::worker_entry> const& workers);
 
     /// `done` follows exactly once.
     void change(cluster::change_requested request, answer_handler done);
--- a/libs/daemon/src/context.hpp
+++ b/libs/daemon/src/context.hpp
@@ -3,7 +3,7 @@
 
 #include "foxtaillift/base/clock.hpp"
 #include "foxtaillift/base/random.hpp"
-#include "foxtaillift/daemon/log_writer.hpp"
+#include "foxtaillift/logging/log_writer.hpp"
 #include "foxtaillift/metrics/registry.hpp"
 #include "foxtaillift/settings/daemon_settings.hpp"
 
@@ -21,7 +21,7 @@
 struct context
 {
     settings::daemon_settings settings;
-    log_writer& log;
+    logging::log_writer& log;
     metrics::registry& metrics;
     boost::asio::io_context& control;
     boost::asio::io_context& calls;
--- a/libs/daemon/src/control_plane.cpp
+++ b/libs/daemon/src/control_plane.cpp
@@ -121,7 +121,7 @@
                    this->loads.take_bytes(summaries);
                },
            .taken =
-               [this](base::cell_id const& cell, platform::epoch_number epoch) {
+               [this](base::cell_id const& cell, formats::epoch_number epoch) {
                    this->on_taken(cell, epoch);
                }})
     , operators(
@@ -329,7 +329,7 @@
 }
 
 void control_plane::on_taken(
-    base::cell_id const& cell, platform::epoch_number epoch)
+    base::cell_id const& cell, formats::epoch_number epoch)
 {
     auto const owned = this->ownership.state().find(cell);
     if (owned && owned->epoch < epoch) {
--- a/libs/daemon/src/control_plane.hpp
+++ b/libs/daemon/src/control_plane.hpp
@@ -75,7 +75,7 @@
     void on_beat();
     void announce_takeover(cluster::cell_gained const& gained);
     /// A peer says that it took a cell.
-    void on_taken(base::cell_id const& cell, platform::epoch_number epoch);
+    void on_taken(base::cell_id const& cell, formats::epoch_number epoch);
     void update_ready();
 
     context& shared;
--- a/libs/daemon/src/entry_host.cpp
+++ b/libs/daemon/src/entry_host.cpp
@@ -199,7 +199,7 @@
         this->control.stop();
     }
 
-    log_writer log;
+    logging::log_writer log;
     metrics::registry metrics;
     boost::asio::io_context control{1};
     boost::asio::io_context calls;
--- a/libs/daemon/src/host_watch.cpp
+++ b/libs/daemon/src/host_watch.cpp
@@ -9,7 +9,7 @@
 namespace foxtaillift::daemon
 {
 
-base::cell_id cell_of(platform::worker_entry const& worker)
+base::cell_id cell_of(formats::worker_entry const& worker)
 {
     return base::cell_id{worker.rack.str()};
 }
@@ -41,7 +41,7 @@
     });
 }
 
-void host_watch::take(std::vector<platform::worker_entry> hosts)
+void host_watch::take(std::vector<formats::worker_entry> hosts)
 {
     auto text = nlohmann::json(hosts).dump();
     if (text == this->fingerprint) {
@@ -51,7 +51,7 @@
     this->current = std::move(hosts);
     auto const leaving = std::count_if(
         this->current.begin(), this->current.end(), [](auto const& worker) {
-            return worker.state == platform::worker_state::leaving;
+            return worker.state == formats::worker_state::leaving;
         });
     base::event_line line{"host_list_changed"};
     line.add("workers", this->current.size()).add("leaving", leaving);
@@ -59,10 +59,10 @@
     this->changed();
 }
 
-std::vector<platform::worker_entry>
+std::vector<formats::worker_entry>
 host_watch::workers_of(base::cell_id const& cell) const
 {
-    std::vector<platform::worker_entry> found;
+    std::vector<formats::worker_entry> found;
     for (auto const& worker : this->current) {
         if (cell_of(worker) == cell) {
             found.push_back(worker);
@@ -71,7 +71,7 @@
     return found;
 }
 
-platform::worker_entry const*
+formats::worker_entry const*
 host_watch::find(base::worker_id const& worker) const
 {
     auto const found = std::find_if(
--- a/libs/daemon/src/host_watch.hpp
+++ b/libs/daemon/src/host_watch.hpp
@@ -4,7 +4,7 @@
 #include "context.hpp"
 #include "wake_timer.hpp"
 
-#include "foxtaillift/platform/hosts.hpp"
+#include "foxtaillift/formats/hosts.hpp"
 #include "foxtaillift/transport/host_list_client.hpp"
 
 #include <functional>
@@ -16,7 +16,7 @@
 {
 
 /// The cell of a worker: its rack.
-base::cell_id cell_of(platform::worker_entry const& worker);
+base::cell_id cell_of(formats::worker_entry const& worker);
 
 /// Control thread only.
 class host_watch
@@ -30,13 +30,13 @@
     /// the one before.
     void start(listener changed);
 
-    [[nodiscard]] std::vector<platform::worker_entry> const& workers() const
+    [[nodiscard]] std::vector<formats::worker_entry> const& workers() const
     {
         return this->current;
     }
-    [[nodiscard]] std::vector<platform::worker_entry>
+    [[nodiscard]] std::vector<formats::worker_entry>
     workers_of(base::cell_id const& cell) const;
-    [[nodiscard]] platform::worker_entry const*
+    [[nodiscard]] formats::worker_entry const*
     find(base::worker_id const& worker) const;
     /// The cells of the listed workers, each once.
     [[nodiscard]] std::vector<base::cell_id> cells() const;
@@ -45,13 +45,13 @@
 
 private:
     void poll();
-    void take(std::vector<platform::worker_entry> hosts);
+    void take(std::vector<formats::worker_entry> hosts);
 
     context& shared;
     transport::host_list_client& client;
     wake_timer timer;
     listener changed;
-    std::vector<platform::worker_entry> current;
+    std::vector<formats::worker_entry> current;
     std::string fingerprint; ///< of the list, to notice a change
 };
 
--- a/libs/daemon/src/operator_service.cpp
+++ b/libs/daemon/src/operator_service.cpp
@@ -47,7 +47,7 @@
 }
 
 /// A cell's share of a quota, in the form of the resources in use.
-platform::resources to_resources(batch::team_quota const& quota)
+formats::resources to_resources(batch::team_quota const& quota)
 {
     return {
         std::llround(quota.processors), std::llround(quota.memory_mb),
@@ -194,7 +194,7 @@
             auto entry = to_json(view);
             entry["cell"] = cell.str();
             if (auto const* listed = this->parts.hosts.find(view.worker)) {
-                entry["state"] = platform::to_string(listed->state);
+                entry["state"] = formats::to_string(listed->state);
                 entry["address"] = listed->address;
             }
             workers.push_back(std::move(entry));
--- a/libs/daemon/src/ownership_driver.cpp
+++ b/libs/daemon/src/ownership_driver.cpp
@@ -46,7 +46,7 @@
 {}
 
 void ownership_driver::set_workers(
-    std::vector<platform::worker_entry> const& workers)
+    std::vector<formats::worker_entry> const& workers)
 {
     std::map<base::cell_id, double> cores;
     for (auto const& worker : workers) {
@@ -86,7 +86,7 @@
 {
     this->store.scan(
         action.content,
-        [this, request = action.request](platform::rows_result result) {
+        [this, request = action.request](formats::rows_result result) {
             this->handle(
                 cluster::ownership_scan_finished{request, std::move(result)});
         });
--- a/libs/daemon/src/ownership_driver.hpp
+++ b/libs/daemon/src/ownership_driver.hpp
@@ -7,7 +7,7 @@
 #include "wake_timer.hpp"
 
 #include "foxtaillift/cluster/ownership.hpp"
-#include "foxtaillift/platform/hosts.hpp"
+#include "foxtaillift/formats/hosts.hpp"
 
 #include <functional>
 #include <string>
@@ -37,7 +37,7 @@
         std::string const& peer_address,
         ownership_listener listener);
 
-    void set_workers(std::vector<platform::worker_entry> const& workers);
+    void set_workers(std::vector<formats::worker_entry> const& workers);
     void handle(cluster::ownership_event const& event);
     /// Hands over or releases all cells; `stopped` follows.
     void stop() { this->handle(cluster::stop_requested{}); }
--- a/libs/daemon/src/peer_service.cpp
+++ b/libs/daemon/src/peer_service.cpp
@@ -79,7 +79,7 @@
     } else if (target == "/peer/taken") {
         std::istringstream in{body};
         std::string cell;
-        platform::epoch_number epoch = 0;
+        formats::epoch_number epoch = 0;
         if (!(in >> cell >> epoch)) {
             throw base::error(
                 base::error_code::corrupt_data, "no cell and epoch");
--- a/libs/daemon/src/peer_service.hpp
+++ b/libs/daemon/src/peer_service.hpp
@@ -30,7 +30,7 @@
     /// Cell summaries of a peer.
     std::function<void(std::string const& summaries)> load;
     /// A peer took a cell with this epoch.
-    std::function<void(base::cell_id const&, platform::epoch_number)> taken;
+    std::function<void(base::cell_id const&, formats::epoch_number)> taken;
 };
 
 class peer_service
--- a/libs/daemon/src/routing_publisher.cpp
+++ b/libs/daemon/src/routing_publisher.cpp
@@ -64,7 +64,7 @@
              .cell = cell,
              .services = entry.services,
              .slots = static_cast<std::uint32_t>(entry.slots),
-             .is_leaving = entry.state == platform::worker_state::leaving,
+             .is_leaving = entry.state == formats::worker_state::leaving,
              .is_quarantined =
                  !cluster::is_in_service(document, entry.worker.view(), wall),
              .is_adopted = !is_local || this->sources.cells.has_adopted(
--- a/libs/daemon/src/store_driver.cpp
+++ b/libs/daemon/src/store_driver.cpp
@@ -35,8 +35,7 @@
     this->table.async_read(keys, std::move(done));
 }
 
-void store_driver::scan(
-    platform::scan_request const& request, rows_handler done)
+void store_driver::scan(formats::scan_request const& request, rows_handler done)
 {
     this->table.async_scan(request, std::move(done));
 }
@@ -49,13 +48,13 @@
 }
 
 void store_driver::scan_page(
-    platform::scan_request request,
-    platform::rows_result collected,
+    formats::scan_request request,
+    formats::rows_result collected,
     rows_handler done)
 {
     this->table.async_scan(
         request, [this, request, collected = std::move(collected),
-                  done = std::move(done)](platform::rows_result page) mutable {
+                  done = std::move(done)](formats::rows_result page) mutable {
             if (!page.is_answered) {
                 done(std::move(page));
                 return;
@@ -94,7 +93,7 @@
 {
     this->table.async_transact(
         action.content, [this, operation = action.content.operation](
-                            platform::transact_result result) {
+                            formats::transact_result result) {
             this->handle(
                 store::transact_finished{operation, std::move(result)});
         });
@@ -104,7 +103,7 @@
 {
     this->table.async_read(
         action.keys,
-        [this, request = action.request](platform::rows_result result) {
+        [this, request = action.request](formats::rows_result result) {
             this->handle(store::read_finished{request, std::move(result)});
         });
 }
--- a/libs/daemon/src/store_driver.hpp
+++ b/libs/daemon/src/store_driver.hpp
@@ -21,7 +21,7 @@
 {
 public:
     using completion_handler = std::function<void(store::completion const&)>;
-    using rows_handler = std::function<void(platform::rows_result)>;
+    using rows_handler = std::function<void(formats::rows_result)>;
 
     store_driver(context& shared, transport::table_client& table);
 
@@ -32,7 +32,7 @@
     void submit_other(store::submission content, completion_handler done);
 
     void read(std::vector<std::string> const& keys, rows_handler done);
-    void scan(platform::scan_request const& request, rows_handler done);
+    void scan(formats::scan_request const& request, rows_handler done);
     /// Reads all rows of a prefix, in pages. Fails as a whole.
     void scan_all(std::string prefix, rows_handler done);
 
@@ -50,8 +50,8 @@
     void perform(store::completion const& action);
     void perform(store::log_line action);
     void scan_page(
-        platform::scan_request request,
-        platform::rows_result collected,
+        formats::scan_request request,
+        formats::rows_result collected,
         rows_handler done);
 
     context& shared;
--- a/libs/daemon/src/task_codec.cpp
+++ b/libs/daemon/src/task_codec.cpp
@@ -117,7 +117,7 @@
     return out;
 }
 
-json amounts(platform::resources const& value)
+json amounts(formats::resources const& value)
 {
     return value;
 }
--- a/libs/daemon/src/task_service.cpp
+++ b/libs/daemon/src/task_service.cpp
@@ -90,7 +90,7 @@
 }
 
 std::optional<base::cell_id> task_service::choose_cell(
-    platform::resources const& size, base::cell_id const& except)
+    formats::resources const& size, base::cell_id const& except)
 {
     struct candidate
     {
@@ -232,7 +232,7 @@
     name.key = key;
     this->store.read(
         {batch::submit_key(name)},
-        [this, verb, done = std::move(done)](platform::rows_result result) {
+        [this, verb, done = std::move(done)](formats::rows_result result) {
             if (!result.is_answered || result.rows.size() != 1) {
                 done(error_response(
                     503, "unavailable", "the table does not answer"));
--- a/libs/daemon/src/task_service.hpp
+++ b/libs/daemon/src/task_service.hpp
@@ -75,7 +75,7 @@
     /// The cell with the most room that could ever hold the task, else the one
     /// with the largest worker.
     [[nodiscard]] std::optional<base::cell_id> choose_cell(
-        platform::resources const& size, base::cell_id const& except = {});
+        formats::resources const& size, base::cell_id const& except = {});
     void move_tasks(
         base::cell_id const& cell,
         cell_driver& driver,
--- a/libs/daemon/src/worker_monitor.cpp
+++ b/libs/daemon/src/worker_monitor.cpp
@@ -116,9 +116,9 @@
         this->agents.async_audit(
             entry->address,
             [this, worker](
-                transport::agent_result<platform::adopt_answer> const& result) {
+                transport::agent_result<formats::adopt_answer> const& result) {
                 this->asking.erase(worker);
-                if (result.status != platform::agent_status::done) {
+                if (result.status != formats::agent_status::done) {
                     return;
                 }
                 std::uint32_t own = 0;
--- a/libs/daemon/tests/settings_test.cpp
+++ b/libs/daemon/tests/settings_test.cpp
@@ -22,9 +22,9 @@
 constexpr std::int64_t expiry = wall + 60'000;
 
 /// One worker with the service "pay", which is the whole fleet.
-platform::worker_entry make_worker(std::string const& name)
+formats::worker_entry make_worker(std::string const& name)
 {
-    platform::worker_entry entry;
+    formats::worker_entry entry;
     entry.worker = base::worker_id{name};
     entry.rack = base::rack_id{"r-" + name};
     entry.capacity = {16'000, 64'000, 2};
@@ -61,7 +61,7 @@
 batch::scheduler_settings batch_settings_of(
     cluster::configuration_document const& document,
     std::int64_t at = wall,
-    std::vector<platform::worker_entry> const& fleet = {make_worker("w1")})
+    std::vector<formats::worker_entry> const& fleet = {make_worker("w1")})
 {
     return to_scheduler_settings(document, cell_of(fleet.front()), fleet, at);
 }
--- a/libs/platform/include/foxtaillift/platform/hosts.hpp
+++ b/libs/formats/include/foxtaillift/formats/hosts.hpp
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-namespace foxtaillift::platform
+namespace foxtaillift::formats
 {
 
 /// Amounts of the three resources that tasks are declared with.
@@ -58,4 +58,4 @@
 void to_json(nlohmann::json& out, worker_entry const& value);
 void from_json(nlohmann::json const& in, worker_entry& value);
 
-} // namespace foxtaillift::platform
+} // namespace foxtaillift::formats
--- a/libs/platform/include/foxtaillift/platform/member_reader.hpp
+++ b/libs/formats/include/foxtaillift/formats/member_reader.hpp
@@ -12,7 +12,7 @@
 #include <string>
 #include <utility>
 
-namespace foxtaillift::platform
+namespace foxtaillift::formats
 {
 
 /// Reads members of one object and refuses those that nobody asked for. All
@@ -103,4 +103,4 @@
     std::set<std::string> known;
 };
 
-} // namespace foxtaillift::platform
+} // namespace foxtaillift::formats
--- a/libs/platform/include/foxtaillift/platform/table.hpp
+++ b/libs/formats/include/foxtaillift/formats/table.hpp
@@ -11,7 +11,7 @@
 #include <string>
 #include <vector>
 
-namespace foxtaillift::platform
+namespace foxtaillift::formats
 {
 
 using row_version = std::uint64_t;
@@ -94,4 +94,4 @@
 void to_json(nlohmann::json& out, scan_request const& value);
 void from_json(nlohmann::json const& in, scan_request& value);
 
-} // namespace foxtaillift::platform
+} // namespace foxtaillift::formats
--- a/libs/platform/include/foxtaillift/platform/worker_agent.hpp
+++ b/libs/formats/include/foxtaillift/formats/worker_agent.hpp
@@ -6,7 +6,7 @@
 #pragma once
 
 #include "foxtaillift/base/identifier.hpp"
-#include "foxtaillift/platform/hosts.hpp"
+#include "foxtaillift/formats/hosts.hpp"
 
 #include <nlohmann/json_fwd.hpp>
 
@@ -14,7 +14,7 @@
 #include <string>
 #include <vector>
 
-namespace foxtaillift::platform
+namespace foxtaillift::formats
 {
 
 using epoch_number = std::uint64_t;
@@ -149,4 +149,4 @@
 void to_json(nlohmann::json& out, usage_report const& value);
 void from_json(nlohmann::json const& in, usage_report& value);
 
-} // namespace foxtaillift::platform
+} // namespace foxtaillift::formats
--- a/libs/platform/src/hosts.cpp
+++ b/libs/formats/src/hosts.cpp
@@ -1,10 +1,10 @@
-#include "foxtaillift/platform/hosts.hpp"
+#include "foxtaillift/formats/hosts.hpp"
 
 #include "foxtaillift/base/error.hpp"
 
 #include <nlohmann/json.hpp>
 
-namespace foxtaillift::platform
+namespace foxtaillift::formats
 {
 
 resources& resources::operator+=(resources const& other)
@@ -101,4 +101,4 @@
     }
 }
 
-} // namespace foxtaillift::platform
+} // namespace foxtaillift::formats
--- a/libs/platform/src/table.cpp
+++ b/libs/formats/src/table.cpp
@@ -1,8 +1,8 @@
-#include "foxtaillift/platform/table.hpp"
+#include "foxtaillift/formats/table.hpp"
 
 #include <nlohmann/json.hpp>
 
-namespace foxtaillift::platform
+namespace foxtaillift::formats
 {
 
 void to_json(nlohmann::json& out, row const& value)
@@ -78,4 +78,4 @@
     value.limit = in.value("limit", std::uint32_t{1000});
 }
 
-} // namespace foxtaillift::platform
+} // namespace foxtaillift::formats
--- a/libs/platform/src/worker_agent.cpp
+++ b/libs/formats/src/worker_agent.cpp
@@ -1,4 +1,4 @@
-#include "foxtaillift/platform/worker_agent.hpp"
+#include "foxtaillift/formats/worker_agent.hpp"
 
 #include "foxtaillift/base/error.hpp"
 
@@ -7,7 +7,7 @@
 #include <array>
 #include <utility>
 
-namespace foxtaillift::platform
+namespace foxtaillift::formats
 {
 
 namespace
@@ -223,4 +223,4 @@
     in.at("runs").get_to(value.runs);
 }
 
-} // namespace foxtaillift::platform
+} // namespace foxtaillift::formats
--- a/libs/platform/tests/messages_test.cpp
+++ b/libs/formats/tests/messages_test.cpp
@@ -1,24 +1,24 @@
 #include "foxtaillift/base/error.hpp"
-#include "foxtaillift/platform/table.hpp"
-#include "foxtaillift/platform/worker_agent.hpp"
+#include "foxtaillift/formats/table.hpp"
+#include "foxtaillift/formats/worker_agent.hpp"
 
 #include <doctest/doctest.h>
 #include <nlohmann/json.hpp>
 
 namespace base = foxtaillift::base;
-namespace platform = foxtaillift::platform;
+namespace formats = foxtaillift::formats;
 
 using nlohmann::json;
 
 // Guards against a delete that is encoded as an empty value, or the reverse.
 TEST_CASE("a transaction keeps its writes and deletes")
 {
-    platform::transaction const sent{
+    formats::transaction const sent{
         .operation = "op1",
         .conditions = {{"a", 0}, {"b", 7}},
         .writes = {{"a", "x"}, {"b", std::nullopt}, {"c", ""}}};
     auto const text = json(sent).dump();
-    auto const received = json::parse(text).get<platform::transaction>();
+    auto const received = json::parse(text).get<formats::transaction>();
     CHECK(received.operation == sent.operation);
     CHECK(received.conditions == sent.conditions);
     CHECK(received.writes == sent.writes);
@@ -27,7 +27,7 @@
 // Guards against a field of a run that is lost between worker and owner.
 TEST_CASE("an adoption answer survives its codec")
 {
-    platform::adopt_answer const sent{
+    formats::adopt_answer const sent{
         .worker = base::worker_id{"w1"},
         .epoch = 9,
         .capacity = {32000, 125000, 2},
@@ -35,7 +35,7 @@
         .runs = {
             {.task = base::task_id{"t1"},
              .attempt = 4,
-             .state = platform::run_state::checkpointed,
+             .state = formats::run_state::checkpointed,
              .task_class = "nesting",
              .size = {1000, 500, 1},
              .checkpoint = "c/t1/4",
@@ -43,9 +43,9 @@
              .since_checkpoint_ms = 2,
              .throttle = 0.5,
              .message = "m"}}};
-    auto const received = json(sent).get<platform::adopt_answer>();
+    auto const received = json(sent).get<formats::adopt_answer>();
     CHECK(json(received) == json(sent));
-    CHECK(received.runs.at(0).state == platform::run_state::checkpointed);
+    CHECK(received.runs.at(0).state == formats::run_state::checkpointed);
     CHECK(received.runs.at(0).throttle == 0.5);
     CHECK(received.capacity == sent.capacity);
 }
@@ -57,17 +57,17 @@
         {"task", "t"},
         {"attempt", 1},
         {"state", "paused"},
-        {"size", platform::resources{}}};
+        {"size", formats::resources{}}};
     CHECK_THROWS_AS(
-        static_cast<void>(text.get<platform::run_entry>()), base::error);
+        static_cast<void>(text.get<formats::run_entry>()), base::error);
 }
 
 // Guards against a comparison that ignores one of the resources.
 TEST_CASE("resources fit only if every amount fits")
 {
-    platform::resources const limit{1000, 100, 1};
-    CHECK(platform::resources{1000, 100, 1}.fits_in(limit));
-    CHECK_FALSE(platform::resources{1001, 100, 1}.fits_in(limit));
-    CHECK_FALSE(platform::resources{1000, 101, 1}.fits_in(limit));
-    CHECK_FALSE(platform::resources{1000, 100, 2}.fits_in(limit));
+    formats::resources const limit{1000, 100, 1};
+    CHECK(formats::resources{1000, 100, 1}.fits_in(limit));
+    CHECK_FALSE(formats::resources{1001, 100, 1}.fits_in(limit));
+    CHECK_FALSE(formats::resources{1000, 101, 1}.fits_in(limit));
+    CHECK_FALSE(formats::resources{1000, 100, 2}.fits_in(limit));
 }
--- /dev/null
+++ b/libs/jobs/include/foxtaillift/jobs/rows.hpp
@@ -0,0 +1,98 @@
+/// Rows of the platform's store as the job service uses them, and the tables
+/// that it keeps there.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace foxtaillift::jobs
+{
+
+struct row
+{
+    std::string table{};
+    std::string key{};
+    std::string value{};
+    std::int64_t version = 0; ///< grows with every change of the store
+    bool is_removed = false;
+};
+
+/// A row must have this version; 0: it must not exist.
+struct row_condition
+{
+    std::string table{};
+    std::string key{};
+    std::int64_t version = 0;
+};
+
+/// Carried out as a whole or not at all.
+struct row_change
+{
+    std::vector<row_condition> conditions{};
+    std::vector<row> puts{};
+    std::vector<row> removals{};
+};
+
+enum class store_status
+{
+    done,
+    conflict,     ///< a condition did not hold; nothing was changed
+    not_done,     ///< certainly nothing was changed
+    unknown,      ///< may have been or may yet be carried out
+    history_lost, ///< the changes since the given version are not kept
+};
+
+std::string_view to_string(store_status status);
+
+struct change_result
+{
+    store_status status = store_status::unknown;
+    std::int64_t version = 0;   ///< of the rows written, if done
+    std::vector<row> current{}; ///< rows of the conditions, in a conflict
+};
+
+struct rows_result
+{
+    store_status status = store_status::unknown;
+    std::vector<row> rows{};
+    bool has_more = false;
+    std::int64_t version = 0; ///< newest of the store
+};
+
+namespace tables
+{
+inline constexpr char lead[] = "lead";         ///< who leads; keys below
+inline constexpr char jobs[] = "jobs";         ///< submissions, cancellations
+inline constexpr char progress[] = "progress"; ///< by job, while it is open
+inline constexpr char ended[] = "ended";       ///< final state, by job
+} // namespace tables
+
+namespace lead_keys
+{
+inline constexpr char epoch[] = "epoch";     ///< changes with each takeover
+inline constexpr char beat[] = "beat";       ///< changes with each commit
+inline constexpr char workers[] = "workers"; ///< workers that may run tasks
+/// What a successor need not learn anew; read together with the workers.
+inline constexpr char learned[] = "workers.learned";
+} // namespace lead_keys
+
+/// Keys of the table `jobs`. Identifiers hold no '.'.
+std::string submission_key(std::string_view job);
+std::string cancellation_key(std::string_view job);
+
+/// The bounds of the keys above: first, and one after the last.
+std::string first_key(std::string_view job);
+std::string end_key(std::string_view job);
+
+/// A key of the table `jobs`, taken apart.
+struct job_row_key
+{
+    std::string job{};
+    bool is_cancellation = false;
+    bool is_valid = false;
+};
+job_row_key parse_job_key(std::string_view key);
+
+} // namespace foxtaillift::jobs
--- /dev/null
+++ b/libs/jobs/include/foxtaillift/jobs/scheduler.hpp
@@ -0,0 +1,186 @@
+/// Decides which task runs where, from the start of one leadership to its end.
+#pragma once
+
+#include "foxtaillift/base/clock.hpp"
+#include "foxtaillift/base/event_line.hpp"
+#include "foxtaillift/jobs/job.hpp"
+#include "foxtaillift/jobs/progress.hpp"
+#include "foxtaillift/jobs/worker.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace foxtaillift::jobs
+{
+
+struct scheduler_options
+{
+    std::int64_t token = 1; ///< fencing token of this leadership
+    /// Lease that runs get; below the platform's longest, which shortens any
+    /// longer one.
+    base::duration lease = base::milliseconds(5500);
+    /// The longest lease that an earlier leader can have given.
+    base::duration longest_lease = base::milliseconds(6000);
+    base::duration stop_timeout = base::milliseconds(900);
+    /// How long a look waits for an end when nothing else is due. While its
+    /// answer is lost, the worker is not heard for this long.
+    base::duration look_wait = base::milliseconds(1000);
+    /// One line for each decision; may be empty.
+    std::function<void(base::event_line const&)> log{};
+};
+
+/// What has to be durable before ends are acknowledged to workers.
+struct commit_batch
+{
+    /// The removal of a job writes its state and removes its rows.
+    static constexpr std::size_t rows_of_removal = 4;
+
+    struct item
+    {
+        std::string job{};
+        job_progress progress{};
+        /// The job is over and nothing of it runs: its rows can go, but for
+        /// its state.
+        bool is_removal = false;
+    };
+    std::vector<item> items{};
+    /// Ends of one life of a worker that become durable.
+    struct durable_ends
+    {
+        std::size_t worker = 0;
+        std::int64_t born_ms = 0;
+        std::int64_t number = 0; ///< the highest
+    };
+    std::vector<durable_ends> ends{};
+
+    [[nodiscard]] bool empty() const { return this->items.empty(); }
+};
+
+/// Room and work of the fleet at a moment, for logs and metrics.
+struct fleet_load
+{
+    std::size_t workers = 0;             ///< known
+    std::size_t usable_workers = 0;      ///< get new tasks
+    resources capacity{};                ///< of the usable ones
+    resources used{};                    ///< there; without filling processors
+    std::int64_t serving_processors = 0; ///< reserved by serving tasks
+    std::int64_t filling_processors = 0; ///< asked for by filling tasks
+    struct queue_load
+    {
+        std::size_t jobs = 0;          ///< not over
+        std::size_t running_tasks = 0; ///< present on workers, or possibly
+        std::size_t waiting_tasks = 0; ///< their turn has come
+    };
+    std::map<std::string, queue_load> queues{}; ///< by name
+};
+
+/// The decisions of a leader. Does no I/O: events go in, orders for workers and
+/// records for the store come out. Time is an argument; it must count while the
+/// host is suspended. Not thread-safe.
+///
+/// A run is taken as present from the moment its start is ordered until the
+/// worker reports its end, reports that it never came, or its lease has
+/// certainly run out. So a task never runs twice and no worker gets more than
+/// it has room for.
+class scheduler
+{
+public:
+    explicit scheduler(scheduler_options options);
+    scheduler(scheduler const&) = delete;
+    scheduler& operator=(scheduler const&) = delete;
+    ~scheduler();
+
+    // Commands
+
+    void set_queues(std::vector<queue> queues);
+
+    /// The platform lists the worker, or changed its entry.
+    void list_worker(worker_info const& worker, base::instant now);
+    /// A worker that an earlier leader used and the platform may not list.
+    void recall_worker(worker_info const& worker, base::instant now);
+    void unlist_worker(std::string_view worker, base::instant now);
+
+    /// Call once after the workers and jobs of an earlier leader were added.
+    /// Tasks of these jobs start only when each worker has reported, or when
+    /// every lease that the earlier leader can have given has run out.
+    void begin_recovery(base::instant now);
+
+    /// What an earlier leader had learned of the workloads; see learned().
+    /// Throws base::error (corrupt_data).
+    void take_learned(std::string_view text);
+
+    /// Adds an accepted job, with its progress if it had any.
+    void add_job(
+        job_spec job, std::optional<job_progress> progress, base::instant now);
+    /// A job that is over and whose rows are gone, but for its state.
+    void add_ended(std::string job, job_state state);
+    /// Does nothing if the job is unknown or over.
+    void cancel_job(std::string_view job, base::instant now);
+
+    void on_look(
+        std::string_view worker,
+        order_status status,
+        worker_report const& report,
+        base::instant sent_at,
+        base::instant now);
+    void on_start(
+        std::string_view worker,
+        run_name const& run,
+        order_status status,
+        base::instant now);
+    void on_stop(
+        std::string_view worker,
+        run_name const& run,
+        order_status status,
+        base::instant now);
+
+    void
+    on_pace(std::string_view worker, run_name const& run, order_status status);
+
+    /// Returns the orders that are due. `may_grant` is false while the
+    /// leadership is in doubt: then nothing starts and no lease grows.
+    /// `wall_ms` is the time of day, for timed jobs.
+    std::vector<worker_order>
+    take_orders(base::instant now, std::int64_t wall_ms, bool may_grant);
+
+    /// Returns what is to be written, with at most `row_limit` rows changed;
+    /// empty if nothing is. One batch is out at a time.
+    commit_batch take_commit(std::size_t row_limit);
+    void on_committed(commit_batch const& batch);
+    void on_commit_failed(commit_batch const& batch);
+
+    // Queries
+
+    /// The job was added and its rows are not removed yet.
+    [[nodiscard]] bool is_present(std::string_view job) const;
+    /// The durable state, or nothing if the job is unknown here.
+    [[nodiscard]] std::optional<job_state> state_of(std::string_view job) const;
+    /// Accepted jobs of a queue, without timed ones, of which nothing started.
+    [[nodiscard]] std::size_t pending(std::string_view queue) const;
+    /// True if more than half of the workers have answered a look that was
+    /// sent at `since` or later.
+    [[nodiscard]] bool is_majority_heard(base::instant since) const;
+    [[nodiscard]] bool is_recovered(base::instant now) const;
+    /// Workers on which something may run; valid until the next command.
+    [[nodiscard]] std::vector<worker_info const*> workers_in_use() const;
+    /// A worker refused an order since it knows a higher token.
+    [[nodiscard]] bool is_fenced() const;
+    /// What a successor need not learn anew, for take_learned().
+    [[nodiscard]] std::string learned() const;
+    [[nodiscard]] std::size_t running_count() const;
+    [[nodiscard]] fleet_load load(base::instant now) const;
+    [[nodiscard]] std::size_t job_count() const;
+
+private:
+    class implementation;
+    std::unique_ptr<implementation> impl;
+};
+
+} // namespace foxtaillift::jobs
--- /dev/null
+++ b/libs/jobs/src/job.cpp
@@ -0,0 +1,149 @@
+#include "foxtaillift/jobs/job.hpp"
+
+#include "foxtaillift/base/error.hpp"
+
+#include <array>
+#include <charconv>
+
+namespace foxtaillift::jobs
+{
+
+namespace
+{
+
+/// Bounds memory for one job; the largest steps of the workloads have 80.
+constexpr std::uint64_t tasks_limit = 20'000;
+constexpr std::size_t steps_limit = 256;
+
+[[noreturn]] void refuse(std::size_t step, std::string const& problem)
+{
+    throw base::error{
+        base::error_code::invalid_argument,
+        "step " + std::to_string(step) + ": " + problem};
+}
+
+void check_step(step const& step, std::size_t number)
+{
+    if (step.count == 0) {
+        refuse(number, "it has no tasks");
+    }
+    if (step.need.processors < 0 || step.need.memory_mb < 0 ||
+        step.need.accelerators < 0) {
+        refuse(number, "an amount of resources is negative");
+    }
+    for (auto const dependency : step.depends_on) {
+        if (dependency >= number) {
+            refuse(
+                number, "it depends on step " + std::to_string(dependency) +
+                            ", which is not an earlier one");
+        }
+    }
+}
+
+} // namespace
+
+resources& resources::operator+=(resources const& other)
+{
+    this->processors += other.processors;
+    this->memory_mb += other.memory_mb;
+    this->accelerators += other.accelerators;
+    return *this;
+}
+
+resources& resources::operator-=(resources const& other)
+{
+    this->processors -= other.processors;
+    this->memory_mb -= other.memory_mb;
+    this->accelerators -= other.accelerators;
+    return *this;
+}
+
+bool resources::fits_in(resources const& room) const
+{
+    return this->processors <= room.processors &&
+           this->memory_mb <= room.memory_mb &&
+           this->accelerators <= room.accelerators;
+}
+
+void check(job_spec const& job)
+{
+    if (job.steps.empty() || job.steps.size() > steps_limit) {
+        throw base::error{
+            base::error_code::invalid_argument,
+            "a job has between 1 and " + std::to_string(steps_limit) +
+                " steps"};
+    }
+    std::uint64_t tasks = 0;
+    for (std::size_t number = 0; number < job.steps.size(); ++number) {
+        check_step(job.steps[number], number);
+        tasks += job.steps[number].count;
+    }
+    if (tasks * job.occurrences() > tasks_limit) {
+        throw base::error{
+            base::error_code::invalid_argument,
+            "the job has more than " + std::to_string(tasks_limit) + " tasks"};
+    }
+}
+
+std::string to_string(task_name const& task)
+{
+    return task.job + "." + std::to_string(task.occurrence) + "." +
+           std::to_string(task.step) + "." + std::to_string(task.index);
+}
+
+std::optional<task_name> parse_task_name(std::string_view text)
+{
+    std::array<std::uint32_t, 3> numbers{};
+    for (std::size_t part = numbers.size(); part-- > 0;) {
+        auto const dot = text.rfind('.');
+        if (dot == std::string_view::npos) {
+            return std::nullopt;
+        }
+        auto const digits = text.substr(dot + 1);
+        auto const [end, failure] = std::from_chars(
+            digits.data(), digits.data() + digits.size(), numbers[part]);
+        if (failure != std::errc{} || end != digits.data() + digits.size()) {
+            return std::nullopt;
+        }
+        text = text.substr(0, dot);
+    }
+    if (text.empty()) {
+        return std::nullopt;
+    }
+    return task_name{
+        .job = std::string{text},
+        .occurrence = numbers[0],
+        .step = numbers[1],
+        .index = numbers[2]};
+}
+
+std::string_view to_string(job_state state)
+{
+    switch (state) {
+    case job_state::queued:
+        return "queued";
+    case job_state::running:
+        return "running";
+    case job_state::completed:
+        return "completed";
+    case job_state::failed:
+        return "failed";
+    case job_state::cancelled:
+        return "cancelled";
+    }
+    return "unknown";
+}
+
+std::optional<job_state> parse_job_state(std::string_view text)
+{
+    for (auto const state :
+         {job_state::queued, job_state::running, job_state::completed,
+          job_state::failed, job_state::cancelled}) {
+        if (text == to_string(state)) {
+            return state;
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace foxtaillift::jobs
--- /dev/null
+++ b/libs/jobs/src/job_table.hpp
@@ -0,0 +1,107 @@
+/// The jobs that a leader knows, with the state of each task.
+#pragma once
+
+#include "foxtaillift/base/clock.hpp"
+#include "foxtaillift/jobs/interference.hpp"
+#include "foxtaillift/jobs/job.hpp"
+#include "foxtaillift/jobs/progress.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace foxtaillift::jobs
+{
+
+enum class run_phase
+{
+    starting, ///< ordered, no answer yet
+    unknown,  ///< the start's answer was lost
+    running,
+    stopping,
+};
+
+/// One run of a task that is present on a worker or may be.
+struct run_entry
+{
+    std::size_t worker = 0;
+    std::uint32_t attempt = 0;
+    run_phase phase = run_phase::starting;
+    base::instant started_at{};
+    base::instant settled_at{}; ///< last answer that changed the phase
+    int percent = -1;           ///< as last reported; negative: never
+    base::instant progressed_at{};
+    /// Progress of which the report told first, and the time at full speed that
+    /// the run has worked since, by the processors that it used.
+    int first_percent = -1;
+    double worked_ms = 0;
+    base::instant measured_at{};
+    int pace = 100; ///< percent, as ordered last
+    bool is_stop_out = false;
+    base::instant stop_sent_at{-1'000'000};
+    std::optional<base::instant> stop_confirmed_at{};
+};
+
+struct task_entry
+{
+    bool is_done = false;
+    std::uint32_t attempt = 0; ///< highest that was started
+    std::vector<std::uint32_t> failed_attempts{};
+    std::string checkpoint{};
+    base::instant not_before{};
+    base::instant idle_since{}; ///< when its last run was closed
+    std::optional<std::size_t> avoided_worker{}; ///< where it failed last
+    std::vector<run_entry> runs{};
+};
+
+/// One step of one occurrence.
+struct step_entry
+{
+    std::uint32_t done = 0;
+    std::uint32_t idle = 0;    ///< neither done nor with a run
+    base::instant ready_at{};  ///< when it could first start; 0: not yet
+    headroom_track headroom{}; ///< of its serving tasks
+};
+
+struct job_entry
+{
+    job_spec spec{};
+    base::instant seen_at{};
+    bool is_inherited = false; ///< an earlier leader may have started it
+    bool is_started = false;
+    job_state state = job_state::queued;
+    job_state durable_state = job_state::queued;
+    bool is_dirty = false;
+    bool is_committing = false;
+    std::size_t done = 0;
+    std::size_t open_runs = 0;
+    std::size_t idle = 0;
+    base::instant wait_logged_at{-1'000'000};
+    base::duration chain{};                     ///< longest chain of estimates
+    std::vector<base::duration> chain_before{}; ///< by step, without it
+    std::vector<base::duration> chain_after{};  ///< by step, without it
+    std::vector<step_entry> steps{};            ///< by occurrence, then step
+    std::vector<task_entry> tasks{};            ///< by ordinal
+
+    [[nodiscard]] std::size_t step_slot(task_name const& name) const;
+    [[nodiscard]] std::size_t
+    first_task(std::uint32_t occurrence, std::uint32_t step) const;
+    /// Nothing if the job has no such task.
+    [[nodiscard]] std::optional<std::size_t>
+    ordinal(task_name const& name) const;
+    [[nodiscard]] task_name name_of(std::size_t ordinal) const;
+    /// All tasks of the steps that it depends on are done.
+    [[nodiscard]] bool
+    is_ready(std::uint32_t occurrence, std::uint32_t step) const;
+    /// Tasks without a run whose steps may start; times are not regarded.
+    [[nodiscard]] std::size_t waiting_tasks() const;
+    [[nodiscard]] job_progress progress() const;
+    [[nodiscard]] std::size_t tasks_in_occurrence() const;
+};
+
+job_entry make_entry(
+    job_spec spec, std::optional<job_progress> progress, base::instant now);
+
+} // namespace foxtaillift::jobs
--- /dev/null
+++ b/libs/jobs/src/peer_message.cpp
@@ -0,0 +1,81 @@
+#include "foxtaillift/jobs/peer_message.hpp"
+
+#include "packing.hpp"
+
+namespace foxtaillift::jobs
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+} // namespace
+
+std::string encode(peer_request const& request)
+{
+    json object = {{"k", static_cast<int>(request.kind)}};
+    add(object, "n", request.name);
+    add(object, "z", request.size);
+    if (!request.value.empty()) {
+        object["v"] =
+            json::binary({request.value.begin(), request.value.end()});
+    }
+    return pack(object);
+}
+
+peer_request decode_peer_request(std::string_view text)
+{
+    return unpack(text, "a peer's request", [](json const& object) {
+        peer_request request;
+        request.kind = static_cast<peer_kind>(object.at("k").get<int>());
+        request.name = object.value("n", std::string{});
+        request.size = object.value("z", std::int64_t{0});
+        if (object.contains("v")) {
+            auto const& bytes = object.at("v").get_binary();
+            request.value.assign(bytes.begin(), bytes.end());
+        }
+        return request;
+    });
+}
+
+std::string encode(peer_reply const& reply)
+{
+    json object = {{"n", reply.nonce}, {"c", reply.version}};
+    add(object, "l", reply.is_leading);
+    add(object, "a", reply.store_age.ms);
+    if (reply.state) {
+        object["s"] = static_cast<int>(*reply.state);
+    }
+    if (reply.pending) {
+        object["p"] = *reply.pending;
+    }
+    if (reply.submission) {
+        object["w"] = static_cast<int>(*reply.submission);
+    }
+    return pack(object);
+}
+
+peer_reply decode_peer_reply(std::string_view text)
+{
+    return unpack(text, "a peer's reply", [](json const& object) {
+        peer_reply reply;
+        reply.nonce = object.at("n");
+        reply.version = object.at("c");
+        reply.is_leading = object.value("l", false);
+        reply.store_age.ms = object.value("a", std::int64_t{0});
+        if (object.contains("s")) {
+            reply.state = static_cast<job_state>(object.at("s").get<int>());
+        }
+        if (object.contains("p")) {
+            reply.pending = object.at("p").get<std::size_t>();
+        }
+        if (object.contains("w")) {
+            reply.submission =
+                static_cast<store_status>(object.at("w").get<int>());
+        }
+        return reply;
+    });
+}
+
+} // namespace foxtaillift::jobs
--- /dev/null
+++ b/libs/jobs/src/scheduler.cpp
@@ -0,0 +1,264 @@
+#include "foxtaillift/jobs/scheduler.hpp"
+
+#include "scheduler_core.hpp"
+
+namespace foxtaillift::jobs
+{
+
+scheduler::scheduler(scheduler_options options)
+    : impl(std::make_unique<implementation>(std::move(options)))
+{}
+
+scheduler::~scheduler() = default;
+
+void scheduler::set_queues(std::vector<queue> queues)
+{
+    this->impl->set_queues(std::move(queues));
+}
+
+void scheduler::list_worker(worker_info const& worker, base::instant now)
+{
+    auto& entry = this->impl->workers[this->impl->workers.add(worker.id)];
+    if (entry.info.address != worker.address) {
+        entry.is_gone = false;
+        entry.look_due = now;
+    }
+    if (!entry.is_listed || entry.info.is_draining != worker.is_draining) {
+        this->impl->log(base::event_line{"worker_listed"}
+                            .add("worker", worker.id)
+                            .add("address", worker.address)
+                            .add("rack", worker.rack)
+                            .add("draining", worker.is_draining)
+                            .add("processors", worker.capacity.processors));
+    }
+    entry.info = worker;
+    entry.is_listed = true;
+}
+
+void scheduler::recall_worker(worker_info const& worker, base::instant now)
+{
+    auto& entry = this->impl->workers[this->impl->workers.add(worker.id)];
+    if (!entry.is_listed) {
+        entry.info = worker;
+        entry.unlisted_at = now;
+    }
+}
+
+void scheduler::unlist_worker(std::string_view worker, base::instant now)
+{
+    auto const index = this->impl->workers.find(worker);
+    if (!index) {
+        return;
+    }
+    auto& entry = this->impl->workers[*index];
+    if (entry.is_listed) {
+        this->impl->log(base::event_line{"worker_unlisted"}
+                            .add("worker", worker)
+                            .add("runs", entry.runs.size())
+                            .add("silent_looks", entry.silent_looks));
+        entry.is_listed = false;
+        entry.unlisted_at = now;
+    }
+}
+
+void scheduler::begin_recovery(base::instant now)
+{
+    this->impl->is_recovered = false;
+    this->impl->recovery_began = now;
+    for (auto& [id, job] : this->impl->jobs) {
+        job->is_inherited = true;
+    }
+}
+
+void scheduler::take_learned(std::string_view text)
+{
+    this->impl->interference.decode(text);
+}
+
+std::string scheduler::learned() const
+{
+    return this->impl->interference.encode();
+}
+
+void scheduler::add_job(
+    job_spec job, std::optional<job_progress> progress, base::instant now)
+{
+    this->impl->add_job(std::move(job), std::move(progress), now);
+}
+
+void scheduler::add_ended(std::string job, job_state state)
+{
+    this->impl->keep_ended(std::move(job), state);
+}
+
+void scheduler::cancel_job(std::string_view job, base::instant now)
+{
+    this->impl->cancel_job(job, now);
+}
+
+void scheduler::on_look(
+    std::string_view worker,
+    order_status status,
+    worker_report const& report,
+    base::instant sent_at,
+    base::instant now)
+{
+    if (auto const index = this->impl->workers.find(worker)) {
+        this->impl->on_look(*index, status, report, sent_at, now);
+    }
+}
+
+void scheduler::on_start(
+    std::string_view worker,
+    run_name const& run,
+    order_status status,
+    base::instant now)
+{
+    if (auto const index = this->impl->workers.find(worker)) {
+        this->impl->on_start(*index, run, status, now);
+    }
+}
+
+void scheduler::on_stop(
+    std::string_view worker,
+    run_name const& run,
+    order_status status,
+    base::instant now)
+{
+    if (auto const index = this->impl->workers.find(worker)) {
+        this->impl->on_stop(*index, run, status, now);
+    }
+}
+
+void scheduler::on_pace(
+    std::string_view worker, run_name const& run, order_status status)
+{
+    if (auto const index = this->impl->workers.find(worker)) {
+        this->impl->on_pace(*index, run, status);
+    }
+}
+
+std::vector<worker_order>
+scheduler::take_orders(base::instant now, std::int64_t wall_ms, bool may_grant)
+{
+    return this->impl->take_orders(now, wall_ms, may_grant);
+}
+
+commit_batch scheduler::take_commit(std::size_t limit)
+{
+    return this->impl->take_commit(limit);
+}
+
+void scheduler::on_committed(commit_batch const& batch)
+{
+    this->impl->on_committed(batch);
+}
+
+void scheduler::on_commit_failed(commit_batch const& batch)
+{
+    this->impl->on_commit_failed(batch);
+}
+
+bool scheduler::is_present(std::string_view job) const
+{
+    return this->impl->find_job(job) != nullptr;
+}
+
+std::optional<job_state> scheduler::state_of(std::string_view job) const
+{
+    if (auto const* const entry = this->impl->find_job(job)) {
+        return entry->durable_state;
+    }
+    auto const found = this->impl->ended.find(std::string{job});
+    if (found == this->impl->ended.end()) {
+        return std::nullopt;
+    }
+    return found->second;
+}
+
+std::size_t scheduler::pending(std::string_view queue) const
+{
+    std::size_t count = 0;
+    for (auto const& [id, job] : this->impl->jobs) {
+        count += job->spec.queue == queue && !job->is_started &&
+                         job->spec.repeats == 0 && !is_final(job->state)
+                     ? 1
+                     : 0;
+    }
+    return count;
+}
+
+bool scheduler::is_majority_heard(base::instant since) const
+{
+    return this->impl->is_majority_heard(since);
+}
+
+bool scheduler::is_recovered(base::instant now) const
+{
+    return this->impl->update_recovery(now);
+}
+
+std::vector<worker_info const*> scheduler::workers_in_use() const
+{
+    std::vector<worker_info const*> result;
+    for (std::size_t i = 0; i < this->impl->workers.size(); ++i) {
+        auto const& worker = this->impl->workers[i];
+        bool const is_doubtful = !this->impl->is_recovered && !worker.is_heard;
+        if (!worker.is_gone &&
+            (worker.is_listed || !worker.runs.empty() || is_doubtful)) {
+            result.push_back(&worker.info);
+        }
+    }
+    return result;
+}
+
+bool scheduler::is_fenced() const
+{
+    return this->impl->is_fenced;
+}
+
+std::size_t scheduler::running_count() const
+{
+    std::size_t count = 0;
+    for (std::size_t i = 0; i < this->impl->workers.size(); ++i) {
+        count += this->impl->workers[i].runs.size();
+    }
+    return count;
+}
+
+fleet_load scheduler::load(base::instant now) const
+{
+    fleet_load result;
+    for (std::size_t i = 0; i < this->impl->workers.size(); ++i) {
+        auto const& worker = this->impl->workers[i];
+        if (worker.is_gone || !worker.is_listed) {
+            continue;
+        }
+        ++result.workers;
+        if (!implementation::is_usable(worker, now)) {
+            continue;
+        }
+        ++result.usable_workers;
+        result.capacity += worker.info.capacity;
+        result.used += worker.used;
+        result.serving_processors += worker.serving_processors;
+        result.filling_processors += worker.filling_processors;
+    }
+    for (auto const& [id, job] : this->impl->jobs) {
+        if (is_final(job->state)) {
+            continue;
+        }
+        auto& queue = result.queues[job->spec.queue];
+        ++queue.jobs;
+        queue.running_tasks += job->open_runs;
+        queue.waiting_tasks += job->waiting_tasks();
+    }
+    return result;
+}
+
+std::size_t scheduler::job_count() const
+{
+    return this->impl->jobs.size();
+}
+
+} // namespace foxtaillift::jobs
--- /dev/null
+++ b/libs/jobs/src/scheduler_core.hpp
@@ -0,0 +1,297 @@
+/// The parts of the scheduler share this state; each part has a source of its
+/// own: jobs, worker reports, pacing, placing, orders.
+#pragma once
+
+#include "foxtaillift/jobs/interference.hpp"
+#include "foxtaillift/jobs/scheduler.hpp"
+
+#include "filling_mix.hpp"
+#include "job_table.hpp"
+#include "placement.hpp"
+#include "worker_table.hpp"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+#include <span>
+#include <unordered_map>
+
+namespace foxtaillift::jobs
+{
+
+/// Time within which a deposed leader has certainly stopped granting leases: it
+/// grants only while a majority of workers accepted its token within this span.
+constexpr base::duration majority_window = base::milliseconds(2500);
+
+/// Added to every wait for the end of a lease: timer lag and the time in which
+/// a worker kills what lapsed.
+constexpr base::duration lapse_margin = base::milliseconds(250);
+
+/// The row of a job that a former leader started may be read this much later
+/// than the reports of its runs: a slow store holds the change back.
+constexpr base::duration unknown_job_grace = base::milliseconds(2000);
+
+/// A run of a job that is not known yet.
+struct orphan_run
+{
+    std::size_t worker = 0;
+    run_name run{};
+    base::instant seen_at{};
+    int percent = 0;
+};
+
+/// A task by its job and position; false if there is none of that name.
+struct task_place
+{
+    job_entry* job = nullptr;
+    std::size_t ordinal = 0;
+
+    explicit operator bool() const { return this->job != nullptr; }
+};
+
+/// A task for which no worker was found; others that need as much or more are
+/// not tried for a while.
+struct unplaceable
+{
+    std::string service{};
+    image_number image = 0;
+    bool is_filling = false;
+    bool is_serving = false;
+    double least_speed = 0;
+    resources need{};
+    base::instant until{}; ///< when it is tried again
+};
+
+/// A search for the worker of a task.
+struct task_search
+{
+    step const* wanted = nullptr;
+    /// Runs of the same step, by worker.
+    std::map<std::size_t, std::size_t> const& own_runs;
+    std::string_view own_rack{}; ///< of the step's other tasks; may be empty
+    std::optional<std::size_t> avoided{}; ///< where the task failed
+    base::instant idle_since{};
+};
+
+struct candidate
+{
+    std::optional<std::size_t> worker{};
+    obstacle_counts obstacles{}; ///< of the workers that were looked at
+};
+
+/// The part of its speed below which a filling task goes on waiting.
+double least_speed_after(base::duration waited);
+
+/// What a worker reports of a serving task at work.
+struct serving_reading
+{
+    run_name const* run = nullptr;
+    occupancy const* taken = nullptr;
+    headroom_track* headroom = nullptr; ///< of its step
+    double tail_over_target = 0;
+};
+
+class scheduler::implementation
+{
+public:
+    explicit implementation(scheduler_options settings);
+
+    // Jobs (scheduler_jobs.cpp)
+    void set_queues(std::vector<queue> list);
+    void add_job(
+        job_spec spec, std::optional<job_progress> progress, base::instant now);
+    void keep_ended(std::string id, job_state state);
+    void cancel_job(std::string_view id, base::instant now);
+    commit_batch take_commit(std::size_t row_limit);
+    void on_committed(commit_batch const& batch);
+    void on_commit_failed(commit_batch const& batch);
+
+    // Reports of workers (scheduler_reports.cpp)
+    void on_look(
+        std::size_t worker,
+        order_status status,
+        worker_report const& report,
+        base::instant sent_at,
+        base::instant now);
+    void on_start(
+        std::size_t worker,
+        run_name const& run,
+        order_status status,
+        base::instant now);
+    void on_stop(
+        std::size_t worker,
+        run_name const& run,
+        order_status status,
+        base::instant now);
+    void on_pace(std::size_t worker, run_name const& run, order_status status);
+
+    // Orders (scheduler_orders.cpp)
+    std::vector<worker_order>
+    take_orders(base::instant now, std::int64_t wall_ms, bool may_grant);
+    [[nodiscard]] bool is_majority_heard(base::instant since) const;
+    bool update_recovery(base::instant now);
+
+    // Shared
+    job_entry* find_job(std::string_view id);
+    job_entry const* find_job(std::string_view id) const;
+    task_place find_task(task_name const& task);
+    run_entry* find_run(std::size_t worker, run_name const& run);
+    void mark_dirty(job_entry& job);
+    void open_run(
+        job_entry& job, std::size_t ordinal, run_entry run, base::instant now);
+    /// Forgets a run that is certainly not present any more.
+    void close_run(
+        job_entry& job,
+        std::size_t ordinal,
+        std::size_t worker,
+        std::uint32_t attempt);
+    void stop_run(std::size_t worker, run_name const& run);
+    void stop_all(job_entry& job);
+    void end_job(job_entry& job, job_state state, std::string_view reason);
+    void lose_runs(std::size_t worker, std::string_view reason);
+    void forget_orphan(std::size_t worker, run_name const& run);
+    /// Takes over the runs of a job that were reported before its row.
+    void adopt_orphans(job_entry& job, base::instant now);
+    [[nodiscard]] occupancy occupancy_of(step const& step);
+    void log(base::event_line const& line) const;
+    [[nodiscard]] queue const* queue_of(job_entry const& job) const;
+    /// New tasks may start there, by all that is known of the worker.
+    [[nodiscard]] static bool
+    is_usable(worker_entry const& worker, base::instant now);
+    /// Adds the ends all of whose jobs are durable with the batch.
+    void add_durable_ends(commit_batch& batch);
+    static void acknowledge(worker_entry& worker, std::int64_t number);
+
+    scheduler_options options;
+    std::map<std::string, queue, std::less<>> queues;
+    std::unordered_map<std::string, std::unique_ptr<job_entry>> jobs;
+    /// States of jobs whose rows are gone, oldest first in `ended_order`.
+    std::unordered_map<std::string, job_state> ended;
+    std::deque<std::string> ended_order;
+    worker_table workers;
+    interference_model interference;
+    filling_mix mix;
+    std::vector<unplaceable> unplaced;
+    std::size_t starts_left = 0;    ///< in the current run
+    std::size_t next_candidate = 0; ///< where the next search begins
+    std::set<std::pair<std::size_t, run_name>> stops; ///< wanted, not yet over
+    std::map<std::string, std::vector<orphan_run>> orphans; ///< by job
+    std::vector<std::string> dirty;
+    base::instant wait_lines_since{-1'000'000};
+    std::size_t wait_lines_left = 0;
+    bool is_commit_out = false;
+    bool is_fenced = false;
+
+    bool is_recovered = true;
+    std::optional<base::instant> recovery_began{};
+    std::optional<base::instant> majority_at{};
+
+private:
+    // scheduler_reports.cpp
+    void take_report(
+        std::size_t worker,
+        worker_report const& report,
+        base::instant sent_at,
+        base::instant now);
+    /// False if the end has to be read again later.
+    bool is_end_readable(
+        std::size_t worker, reported_end const& end, base::instant now);
+    void on_end(std::size_t worker, reported_end const& end, base::instant now);
+    void on_done(job_entry& job, std::size_t ordinal, run_name const& run);
+    void on_failed(
+        job_entry& job,
+        std::size_t ordinal,
+        std::size_t worker,
+        std::uint32_t attempt,
+        base::instant now);
+    void on_running(
+        std::size_t worker, reported_run const& reported, base::instant now);
+    void
+    adopt(std::size_t worker, reported_run const& reported, base::instant now);
+    void on_absent(
+        std::size_t worker,
+        run_name const& run,
+        base::instant sent_at,
+        base::instant now);
+    void
+    check_progress(std::size_t worker, run_name const& run, base::instant now);
+
+    // scheduler_pacing.cpp
+    void update_pace(
+        std::size_t worker, worker_report const& report, base::instant now);
+    void update_served(
+        std::size_t worker,
+        worker_report const& report,
+        std::map<image_number, double> const& shares,
+        base::instant now);
+    void update_slowness(
+        std::size_t worker,
+        std::span<serving_reading const> readings,
+        std::span<image_use const> uses);
+
+    // scheduler_orders.cpp
+    void expire_leases(base::instant now);
+    void add_stops(std::vector<worker_order>& orders, base::instant now);
+    void add_paces(std::vector<worker_order>& orders);
+    void add_looks(
+        std::vector<worker_order>& orders, base::instant now, bool may_grant);
+
+    // scheduler_search.cpp
+    /// Part of the filling work that cannot be done on a worker any more once
+    /// the task is there; 0 to 1.
+    [[nodiscard]] double lost_versatility(
+        worker_entry const& worker,
+        step const& wanted,
+        image_number image) const;
+    [[nodiscard]] candidate find_worker(
+        job_entry const& job, task_search const& search, base::instant now);
+
+    // scheduler_placing.cpp
+    void place(
+        std::vector<worker_order>& orders,
+        base::instant now,
+        std::int64_t wall_ms);
+    void place_job(
+        job_entry& job,
+        std::vector<worker_order>& orders,
+        base::instant now,
+        std::int64_t wall_ms);
+    void place_step(
+        job_entry& job,
+        std::uint32_t occurrence,
+        std::uint32_t step,
+        std::vector<worker_order>& orders,
+        base::instant now);
+    void place_gang(
+        job_entry& job,
+        std::uint32_t occurrence,
+        std::uint32_t step,
+        std::vector<worker_order>& orders,
+        base::instant now);
+    /// False if a task that needs no more of anything found no worker.
+    [[nodiscard]] bool is_placeable(unplaceable const& wanted) const;
+    /// Says why a task got no worker, for a bounded number of jobs.
+    void log_wait(
+        job_entry& job,
+        task_name const& task,
+        candidate const& found,
+        base::instant now);
+    void set_first_pace(worker_entry& worker, run_name const& run);
+    void race_stragglers(
+        job_entry& job, std::vector<worker_order>& orders, base::instant now);
+    void race(
+        job_entry& job,
+        std::size_t ordinal,
+        std::vector<worker_order>& orders,
+        base::instant now);
+    void start(
+        job_entry& job,
+        std::size_t ordinal,
+        std::size_t worker,
+        std::uint32_t attempt,
+        std::vector<worker_order>& orders,
+        base::instant now);
+};
+
+} // namespace foxtaillift::jobs
--- /dev/null
+++ b/libs/jobs/src/scheduler_orders.cpp
@@ -0,0 +1,224 @@
+#include "scheduler_core.hpp"
+
+#include <algorithm>
+
+namespace foxtaillift::jobs
+{
+
+namespace
+{
+
+/// A stop without a confirmation is sent again after this.
+constexpr base::duration stop_retry = base::milliseconds(1000);
+
+/// While a start or a stop of the worker is unresolved, or its filling tasks
+/// are slowed down, its report must not wait long. Reports smooth the tails of
+/// serving tasks over half a second; each one has a price.
+constexpr base::duration short_wait = base::milliseconds(100);
+constexpr base::duration paced_wait = base::milliseconds(500);
+
+/// Without runs a worker is only looked at to see that it lives.
+constexpr base::duration idle_wait = base::milliseconds(2000);
+
+/// While ends wait for the store, a look would return at once each time.
+constexpr base::duration unacknowledged_gap = base::milliseconds(400);
+
+/// Percent by which a worker's clock may be slow, as a factor of 100.
+constexpr std::int64_t slow_clock_percent = 102;
+
+base::duration on_slow_clock(base::duration span)
+{
+    return span * slow_clock_percent / 100;
+}
+
+} // namespace
+
+bool scheduler::implementation::is_majority_heard(base::instant since) const
+{
+    std::size_t known = 0;
+    std::size_t heard = 0;
+    for (std::size_t i = 0; i < this->workers.size(); ++i) {
+        auto const& worker = this->workers[i];
+        if (worker.is_gone || (!worker.is_listed && worker.runs.empty())) {
+            continue;
+        }
+        ++known;
+        heard += worker.is_heard && worker.heard_sent_at >= since ? 1 : 0;
+    }
+    return heard * 2 > known;
+}
+
+/// Returns whether tasks of inherited jobs may start.
+bool scheduler::implementation::update_recovery(base::instant now)
+{
+    if (this->is_recovered) {
+        return true;
+    }
+    if (!this->majority_at && this->is_majority_heard(*this->recovery_began)) {
+        this->majority_at = now;
+    }
+    bool const is_lapsed =
+        this->majority_at &&
+        now > *this->majority_at + majority_window +
+                  on_slow_clock(this->options.longest_lease) + lapse_margin;
+    std::size_t missing = 0;
+    for (std::size_t i = 0; i < this->workers.size(); ++i) {
+        auto const& worker = this->workers[i];
+        bool const is_known = worker.is_heard && !worker.blocked_since;
+        missing += is_known || worker.is_gone ? 0 : 1;
+    }
+    if (missing > 0 && !is_lapsed) {
+        return false;
+    }
+    this->is_recovered = true;
+    this->log(base::event_line{"recovered"}
+                  .add("after_ms", now - *this->recovery_began)
+                  .add("unheard_workers", missing)
+                  .add("jobs", this->jobs.size()));
+    return true;
+}
+
+std::vector<worker_order> scheduler::implementation::take_orders(
+    base::instant now, std::int64_t wall_ms, bool may_grant)
+{
+    std::vector<worker_order> orders;
+    this->expire_leases(now);
+    this->update_recovery(now);
+    this->add_stops(orders, now);
+    if (may_grant) {
+        this->place(orders, now, wall_ms);
+    }
+    this->add_paces(orders);
+    this->add_looks(orders, now, may_grant);
+    return orders;
+}
+
+void scheduler::implementation::expire_leases(base::instant now)
+{
+    for (std::size_t i = 0; i < this->workers.size(); ++i) {
+        auto& worker = this->workers[i];
+        if (worker.silent_looks == 0 || worker.runs.empty() ||
+            !worker.clock.is_known()) {
+            continue;
+        }
+        if (worker.clock.earliest(now) >
+            worker.leased_until_ms + lapse_margin.ms) {
+            this->lose_runs(i, "its leases have run out");
+        }
+    }
+}
+
+void scheduler::implementation::add_stops(
+    std::vector<worker_order>& orders, base::instant now)
+{
+    for (auto const& [index, run] : this->stops) {
+        auto const& worker = this->workers[index];
+        if (worker.silent_looks > 0) {
+            continue; // its lease runs out by itself
+        }
+        auto* const entry = this->find_run(index, run);
+        if (entry != nullptr) {
+            if (entry->is_stop_out || now - entry->stop_sent_at < stop_retry) {
+                continue;
+            }
+            entry->is_stop_out = true;
+            entry->stop_sent_at = now;
+            if (entry->phase == run_phase::running) {
+                entry->phase = run_phase::stopping;
+            }
+        }
+        orders.emplace_back(stop_order{
+            .worker = worker.info.id,
+            .address = worker.info.address,
+            .run = run,
+            .token = this->options.token});
+        this->log(base::event_line{"run_stop"}
+                      .add("task", to_string(run.task))
+                      .add("attempt", run.attempt)
+                      .add("worker", worker.info.id));
+    }
+}
+
+void scheduler::implementation::add_paces(std::vector<worker_order>& orders)
+{
+    for (std::size_t i = 0; i < this->workers.size(); ++i) {
+        auto& worker = this->workers[i];
+        if (!worker.is_pace_due || worker.silent_looks > 0) {
+            continue;
+        }
+        worker.is_pace_due = false;
+        for (auto const& [run, taken] : worker.runs) {
+            if (!taken.is_filling) {
+                continue;
+            }
+            auto* const entry = this->find_run(i, run);
+            if (entry == nullptr || entry->pace == taken.percent) {
+                continue;
+            }
+            if (entry->phase != run_phase::running) {
+                // Its start is not answered yet.
+                worker.is_pace_due |= entry->phase == run_phase::starting;
+                continue;
+            }
+            entry->pace = taken.percent;
+            orders.emplace_back(pace_order{
+                .worker = worker.info.id,
+                .address = worker.info.address,
+                .run = run,
+                .percent = taken.percent,
+                .token = this->options.token});
+        }
+    }
+}
+
+void scheduler::implementation::add_looks(
+    std::vector<worker_order>& orders, base::instant now, bool may_grant)
+{
+    std::vector<char> is_unresolved(this->workers.size(), 0);
+    for (auto const& [index, run] : this->stops) {
+        is_unresolved[index] = 1;
+    }
+    for (std::size_t i = 0; i < this->workers.size(); ++i) {
+        auto& worker = this->workers[i];
+        if (worker.is_look_out || now < worker.look_due) {
+            continue;
+        }
+        bool const is_abandoned = !worker.is_listed && worker.runs.empty();
+        if (is_abandoned && this->is_recovered &&
+            (worker.is_gone || worker.silent_looks > 0)) {
+            continue;
+        }
+        if (worker.processed > worker.acknowledged &&
+            now - worker.heard_at < unacknowledged_gap) {
+            continue;
+        }
+        look_order look{
+            .worker = worker.info.id,
+            .address = worker.info.address,
+            .token = this->options.token,
+            .wait = worker.runs.empty() ? idle_wait : this->options.look_wait};
+        // After a silence another life of the worker may answer, whose ends
+        // count from 1; it must not forget them.
+        bool const is_certain = worker.is_heard && worker.silent_looks == 0;
+        look.acknowledged = is_certain ? worker.acknowledged : 0;
+        if (!is_certain) {
+            look.wait = {};
+        } else if (is_unresolved[i] != 0) {
+            look.wait = short_wait;
+        } else if (worker.is_tight) {
+            look.wait = paced_wait;
+        }
+        // A silent worker gets no longer lease, or what runs there would never
+        // be given up.
+        if (may_grant && is_certain) {
+            auto const until =
+                worker.clock.likely(now) + this->options.lease.ms;
+            look.lease_until_ms = until;
+            worker.leased_until_ms = std::max(worker.leased_until_ms, until);
+        }
+        worker.is_look_out = true;
+        orders.emplace_back(std::move(look));
+    }
+}
+
+} // namespace foxtaillift::jobs
--- /dev/null
+++ b/libs/jobs/src/scheduler_pacing.cpp
@@ -0,0 +1,211 @@
+#include "placement.hpp"
+#include "scheduler_core.hpp"
+#include "urgency.hpp"
+
+#include <algorithm>
+#include <cstdlib>
+
+namespace foxtaillift::jobs
+{
+
+namespace
+{
+
+constexpr int at_work = 100; // percent
+
+/// Smaller changes of a pace are not worth an order.
+constexpr int least_pace_change = 8; // percent
+
+/// Until the next report (500 ms) has led to new paces, which take effect after
+/// 100 ms.
+constexpr base::duration pace_period = base::milliseconds(600);
+
+/// Callers bear a serving task over its target for 4 s on end; a third of that
+/// passes until paces show in the reports.
+constexpr base::duration longest_exceeding = base::milliseconds(2000);
+
+/// A worker is slow if all its serving tasks have less than this part of the
+/// margin that is expected of them; at least so many, with such a margin.
+constexpr double slow_share = 0.1;
+constexpr std::size_t judged_tasks = 2;
+constexpr double judgeable_margin = 0.7;
+
+/// A worker whose serving tasks have less margin left is looked at often: the
+/// load takes up to this much until a usual look (1 s) returns.
+constexpr double watched_margin = 0.6;
+
+} // namespace
+
+void scheduler::implementation::update_pace(
+    std::size_t index, worker_report const& report, base::instant now)
+{
+    auto& worker = this->workers[index];
+    worker.served.clear();
+    worker.fillings.clear();
+    worker.is_tight = false;
+    worker.is_pace_due = worker.filling_processors > 0;
+    auto const capacity = static_cast<double>(
+        std::max<std::int64_t>(1, worker.info.capacity.processors));
+    std::map<image_number, double> shares;
+    std::vector<occupancy*> filling_entries;
+    for (auto const& reported : report.running) {
+        auto const found = worker.runs.find(reported.run);
+        if (found == worker.runs.end() || !found->second.is_filling) {
+            continue;
+        }
+        auto& taken = found->second;
+        shares[taken.image] += static_cast<double>(reported.recent) / capacity;
+        auto const* const job = this->find_job(reported.run.task.job);
+        auto const* const entry = this->find_run(index, reported.run);
+        auto const* const queue =
+            job == nullptr ? nullptr : this->queue_of(*job);
+        worker.fillings.push_back(
+            {.image = taken.image,
+             .full_share =
+                 static_cast<double>(taken.need.processors) / capacity,
+             .percent = taken.percent,
+             .urgency =
+                 entry == nullptr || queue == nullptr
+                     ? 1
+                     : urgency_of(
+                           *job, *queue, *entry, reported.run.task.step, now)});
+        filling_entries.push_back(&taken);
+    }
+    this->update_served(index, report, shares, now);
+    worker.versatility =
+        this->mix.versatility(this->interference, worker.serving_images());
+    if (worker.served.empty() || worker.fillings.empty()) {
+        for (auto* const taken : filling_entries) {
+            taken->percent = at_work;
+        }
+        for (auto& run : worker.fillings) {
+            run.percent = at_work;
+        }
+        return;
+    }
+    double const margin_left =
+        set_paces(this->interference, scene_of(worker), worker.fillings);
+    int slowed = 0;
+    for (std::size_t i = 0; i < filling_entries.size(); ++i) {
+        auto const percent = worker.fillings[i].percent;
+        auto& current = filling_entries[i]->percent;
+        slowed += percent < at_work ? 1 : 0;
+        bool const is_stop_or_full = percent == 0 || percent == at_work;
+        if (std::abs(percent - current) >= least_pace_change ||
+            (is_stop_or_full && percent != current)) {
+            current = percent;
+        }
+    }
+    worker.is_tight = slowed > 0 || margin_left < watched_margin;
+}
+
+void scheduler::implementation::update_served(
+    std::size_t index,
+    worker_report const& report,
+    std::map<image_number, double> const& shares,
+    base::instant now)
+{
+    auto& worker = this->workers[index];
+    std::vector<image_use> uses;
+    uses.reserve(shares.size());
+    for (auto const& [image, share] : shares) {
+        uses.push_back({.image = image, .share = share});
+    }
+    std::vector<serving_reading> readings;
+    for (auto const& reported : report.running) {
+        auto const found = worker.runs.find(reported.run);
+        auto const place = this->find_task(reported.run.task);
+        if (!place || found == worker.runs.end() || !found->second.is_serving ||
+            reported.percent < at_work || reported.recent <= 0) {
+            continue;
+        }
+        readings.push_back(
+            {.run = &reported.run,
+             .taken = &found->second,
+             .headroom =
+                 &place.job->steps[place.job->step_slot(reported.run.task)]
+                      .headroom,
+             .tail_over_target =
+                 static_cast<double>(reported.recent) /
+                 static_cast<double>(found->second.tail_target_ms)});
+    }
+    this->update_slowness(index, readings, uses);
+    auto const capacity = static_cast<double>(
+        std::max<std::int64_t>(1, worker.info.capacity.processors));
+    for (auto const& reading : readings) {
+        auto& history = worker.histories[*reading.run];
+        if (worker.is_slow) {
+            history = {}; // its tails say nothing of load or harm
+        } else {
+            history.on_report(
+                this->interference, *reading.headroom, reading.taken->image,
+                reading.tail_over_target, uses, now);
+        }
+        auto since = now;
+        if (reading.tail_over_target > 1) {
+            since =
+                worker.exceeding_since.emplace(*reading.run, now).first->second;
+        } else {
+            worker.exceeding_since.erase(*reading.run);
+        }
+        bool const may_exceed = now - since < longest_exceeding;
+        // Whatever the model says, a task over its target for long gets rid of
+        // everything that may disturb it.
+        double const headroom =
+            may_exceed ? std::min(
+                             reading.headroom->at(now),
+                             reading.headroom->at(now + pace_period))
+                       : 0;
+        worker.served.push_back(
+            {.image = reading.taken->image,
+             .headroom = headroom,
+             .deviation = reading.headroom->deviation_at(now + pace_period),
+             .share =
+                 static_cast<double>(reading.taken->need.processors) / capacity,
+             .may_exceed = may_exceed && !worker.is_slow});
+    }
+}
+
+void scheduler::implementation::update_slowness(
+    std::size_t index,
+    std::span<serving_reading const> readings,
+    std::span<image_use const> uses)
+{
+    std::size_t judged = 0;
+    std::size_t slow = 0;
+    for (auto const& reading : readings) {
+        double const expected =
+            reading.headroom->last() -
+            this->interference.harm(reading.taken->image, uses);
+        if (reading.headroom->is_followed() && expected > judgeable_margin) {
+            ++judged;
+            slow += 1 / reading.tail_over_target < slow_share * expected;
+        }
+    }
+    auto& worker = this->workers[index];
+    if (judged < judged_tasks) {
+        return;
+    }
+    bool const is_slow = slow == judged;
+    if (is_slow != worker.is_slow) {
+        this->log(base::event_line{is_slow ? "worker_slow" : "worker_speed"}
+                      .add("worker", worker.info.id)
+                      .add("judged_tasks", judged)
+                      .add("slow_tasks", slow));
+        worker.is_slow = is_slow;
+    }
+}
+
+void scheduler::implementation::on_pace(
+    std::size_t index, run_name const& run, order_status status)
+{
+    if (status == order_status::fenced) {
+        this->is_fenced = true;
+    }
+    auto* const entry = this->find_run(index, run);
+    if (entry != nullptr && status != order_status::done) {
+        entry->pace = -1; // it is ordered again with the next report
+    }
+}
+
+} // namespace foxtaillift::jobs
--- /dev/null
+++ b/libs/jobs/src/scheduler_placing.cpp
@@ -0,0 +1,407 @@
+#include "placement.hpp"
+#include "scheduler_core.hpp"
+#include "urgency.hpp"
+
+#include <algorithm>
+#include <tuple>
+
+namespace foxtaillift::jobs
+{
+
+namespace
+{
+
+/// Three times its objective a job earns nothing more.
+constexpr std::int64_t worthless_factor = 3;
+
+/// What a job can still earn. Under overload jobs that are late anyway must not
+/// make others late, so these go first.
+enum class chance_of_worth
+{
+    full,
+    late,
+    none,
+};
+
+/// A copy starts once a run has taken this many times its estimate.
+constexpr std::int64_t straggler_factor = 2;
+constexpr base::duration straggler_least = base::milliseconds(600);
+
+/// Tasks started in one run of the decisions, so that a leader answers its
+/// peers and beats while hundreds wait.
+constexpr std::size_t starts_in_run = 100;
+
+/// Lines on waiting tasks: one for each job in a while, and not more than this
+/// many in all, since thousands may wait in an overload.
+constexpr base::duration wait_gap = base::milliseconds(2000);
+constexpr base::duration wait_lines_period = base::milliseconds(1000);
+constexpr std::size_t wait_lines_limit = 20;
+
+/// A filling task for which all workers are too slow is tried again after this:
+/// it works for seconds, and a search compares all workers of the fleet.
+constexpr base::duration filling_retry = base::milliseconds(100);
+
+/// A timed task may start this much early at most; the callers allow 250 ms.
+constexpr std::int64_t due_slack_ms = 0;
+
+/// Counts the runs of a step by worker.
+std::map<std::size_t, std::size_t>
+runs_by_worker(job_entry const& job, std::size_t first, std::size_t count)
+{
+    std::map<std::size_t, std::size_t> result;
+    for (std::size_t i = first; i < first + count; ++i) {
+        for (auto const& run : job.tasks[i].runs) {
+            ++result[run.worker];
+        }
+    }
+    return result;
+}
+
+} // namespace
+
+void scheduler::implementation::place(
+    std::vector<worker_order>& orders, base::instant now, std::int64_t wall_ms)
+{
+    // Short jobs go before lasting ones, which would keep what they get: where
+    // a fleet has no room for all, short work would wait behind them for good.
+    using rank = std::tuple<
+        std::int64_t, chance_of_worth, bool, std::int64_t, job_entry*>;
+    std::vector<rank> waiting;
+    for (auto& [id, job] : this->jobs) {
+        if (is_final(job->state) || job->open_runs + job->idle == 0) {
+            continue;
+        }
+        if (!this->is_recovered && job->is_inherited) {
+            continue;
+        }
+        auto const* const queue = this->queue_of(*job);
+        if (queue == nullptr) {
+            continue;
+        }
+        auto const objective = objective_of(*job, *queue);
+        bool const is_worthless =
+            now > job->seen_at + objective * worthless_factor;
+        bool const is_lasting = job->spec.steps.front().is_lasting;
+        bool const is_late = now > job->seen_at + objective;
+        auto const chance = is_lasting || !is_late ? chance_of_worth::full
+                            : !is_worthless        ? chance_of_worth::late
+                                                   : chance_of_worth::none;
+        waiting.emplace_back(
+            queue->priority, chance, is_lasting, (job->seen_at + objective).ms,
+            job.get());
+    }
+    std::sort(waiting.begin(), waiting.end());
+    std::erase_if(this->unplaced, [&](unplaceable const& failed) {
+        return failed.until <= now;
+    });
+    this->starts_left = starts_in_run;
+    for (auto const& entry : waiting) {
+        auto& job = *std::get<job_entry*>(entry);
+        if (job.idle > 0) {
+            this->place_job(job, orders, now, wall_ms);
+        }
+        this->race_stragglers(job, orders, now);
+    }
+}
+
+bool scheduler::implementation::is_placeable(unplaceable const& wanted) const
+{
+    return std::none_of(
+        this->unplaced.begin(), this->unplaced.end(),
+        [&](unplaceable const& failed) {
+            return failed.service == wanted.service &&
+                   failed.image == wanted.image &&
+                   failed.is_filling == wanted.is_filling &&
+                   failed.is_serving == wanted.is_serving &&
+                   failed.least_speed <= wanted.least_speed &&
+                   failed.need.fits_in(wanted.need);
+        });
+}
+
+void scheduler::implementation::place_job(
+    job_entry& job,
+    std::vector<worker_order>& orders,
+    base::instant now,
+    std::int64_t wall_ms)
+{
+    auto const step_count = job.spec.steps.size();
+    for (std::uint32_t k = 0; k < job.spec.occurrences(); ++k) {
+        if (job.spec.repeats > 0 &&
+            wall_ms + due_slack_ms <
+                job.spec.first_due_ms + k * job.spec.repeat_interval_ms) {
+            return;
+        }
+        for (std::uint32_t step = 0; step < step_count; ++step) {
+            if (job.steps[k * step_count + step].idle == 0 ||
+                !job.is_ready(k, step)) {
+                continue;
+            }
+            if (job.spec.steps[step].is_gang) {
+                this->place_gang(job, k, step, orders, now);
+            } else {
+                this->place_step(job, k, step, orders, now);
+            }
+        }
+    }
+}
+
+void scheduler::implementation::place_step(
+    job_entry& job,
+    std::uint32_t occurrence,
+    std::uint32_t step_number,
+    std::vector<worker_order>& orders,
+    base::instant now)
+{
+    auto const& wanted = job.spec.steps[step_number];
+    auto const first = job.first_task(occurrence, step_number);
+    auto const slot = occurrence * job.spec.steps.size() + step_number;
+    if (job.steps[slot].ready_at == base::instant{}) {
+        job.steps[slot].ready_at = now;
+    }
+    auto own = runs_by_worker(job, first, wanted.count);
+    std::string own_rack;
+    if (wanted.is_rack_bound && !own.empty()) {
+        own_rack = this->workers[own.begin()->first].info.rack;
+    }
+    for (std::size_t i = first; i < first + wanted.count; ++i) {
+        auto& task = job.tasks[i];
+        if (task.is_done || !task.runs.empty() || now < task.not_before) {
+            continue;
+        }
+        if (this->starts_left == 0) {
+            return; // the next run goes on
+        }
+        auto const idle_since =
+            std::max(task.idle_since, job.steps[slot].ready_at);
+        unplaceable const kind{
+            .service = this->queue_of(job)->service,
+            .image = this->interference.number_of(wanted.image),
+            .is_filling = wanted.is_filling,
+            .is_serving = wanted.is_lasting,
+            .least_speed = least_speed_after(now - idle_since),
+            .need = wanted.need,
+            .until = wanted.is_filling ? now + filling_retry : now};
+        if (!this->is_placeable(kind)) {
+            return;
+        }
+        auto const found = this->find_worker(
+            job,
+            {.wanted = &wanted,
+             .own_runs = own,
+             .own_rack = own_rack,
+             .avoided = task.avoided_worker,
+             .idle_since = idle_since},
+            now);
+        if (!found.worker) {
+            this->log_wait(job, job.name_of(i), found, now);
+            bool const is_particular =
+                !wanted.required_label.empty() || wanted.tasks_per_worker > 0;
+            if (!is_particular) {
+                this->unplaced.push_back(kind);
+            }
+            return; // the other tasks of the step need as much
+        }
+        ++own[*found.worker];
+        if (wanted.is_rack_bound && own_rack.empty()) {
+            own_rack = this->workers[*found.worker].info.rack;
+        }
+        --this->starts_left;
+        this->start(job, i, *found.worker, task.attempt + 1, orders, now);
+    }
+}
+
+void scheduler::implementation::place_gang(
+    job_entry& job,
+    std::uint32_t occurrence,
+    std::uint32_t step_number,
+    std::vector<worker_order>& orders,
+    base::instant now)
+{
+    auto const& wanted = job.spec.steps[step_number];
+    auto const first = job.first_task(occurrence, step_number);
+    std::uint32_t attempt = 0;
+    std::string checkpoint;
+    for (std::size_t i = first; i < first + wanted.count; ++i) {
+        auto const& task = job.tasks[i];
+        if (!task.runs.empty() || now < task.not_before) {
+            return; // members of an earlier attempt are still present
+        }
+        attempt = std::max(attempt, task.attempt);
+        checkpoint = std::max(checkpoint, task.checkpoint);
+    }
+    std::vector<std::pair<std::size_t, std::size_t>> chosen;
+    std::map<std::size_t, std::size_t> own;
+    std::string own_rack;
+    auto const undo = [&] {
+        for (auto const& [ordinal, w] : chosen) {
+            this->workers[w].release({job.name_of(ordinal), attempt + 1});
+        }
+    };
+    for (std::size_t i = first; i < first + wanted.count; ++i) {
+        auto const found = this->find_worker(
+            job,
+            {.wanted = &wanted,
+             .own_runs = own,
+             .own_rack = own_rack,
+             .avoided = job.tasks[i].avoided_worker,
+             .idle_since = job.tasks[i].idle_since},
+            now);
+        if (!found.worker) {
+            this->log_wait(job, job.name_of(i), found, now);
+            undo();
+            return;
+        }
+        auto const w = *found.worker;
+        this->workers[w].occupy(
+            {job.name_of(i), attempt + 1}, this->occupancy_of(wanted));
+        ++own[w];
+        if (wanted.is_rack_bound && own_rack.empty()) {
+            own_rack = this->workers[w].info.rack;
+        }
+        chosen.emplace_back(i, w);
+    }
+    undo(); // the starts occupy the room again
+    for (auto const& [ordinal, w] : chosen) {
+        job.tasks[ordinal].checkpoint = checkpoint;
+        this->start(job, ordinal, w, attempt + 1, orders, now);
+    }
+}
+
+void scheduler::implementation::race_stragglers(
+    job_entry& job, std::vector<worker_order>& orders, base::instant now)
+{
+    bool const may_race = std::any_of(
+        job.spec.steps.begin(), job.spec.steps.end(), [](step const& each) {
+            return each.may_race && !each.is_gang && !each.is_lasting;
+        });
+    if (!may_race || job.open_runs == 0) {
+        return;
+    }
+    for (std::size_t i = 0; i < job.tasks.size(); ++i) {
+        auto const& task = job.tasks[i];
+        if (task.is_done || task.runs.size() != 1 || now < task.not_before) {
+            continue;
+        }
+        auto const name = job.name_of(i);
+        auto const& wanted = job.spec.steps[name.step];
+        auto const late =
+            std::max(straggler_least, wanted.estimate * straggler_factor);
+        bool const is_racing =
+            wanted.may_race && !wanted.is_gang && !wanted.is_lasting;
+        if (is_racing && now - task.runs.front().started_at >= late) {
+            this->race(job, i, orders, now);
+        }
+    }
+}
+
+/// Starts a copy of a task that runs for long, elsewhere.
+void scheduler::implementation::race(
+    job_entry& job,
+    std::size_t ordinal,
+    std::vector<worker_order>& orders,
+    base::instant now)
+{
+    auto const name = job.name_of(ordinal);
+    auto const& wanted = job.spec.steps[name.step];
+    auto const own = runs_by_worker(
+        job, job.first_task(name.occurrence, name.step), wanted.count);
+    auto const& task = job.tasks[ordinal];
+    auto const slow = task.runs.front().worker;
+    auto const found = this->find_worker(
+        job,
+        {.wanted = &wanted,
+         .own_runs = own,
+         .avoided = slow,
+         .idle_since = now},
+        now);
+    if (found.worker && *found.worker != slow) {
+        this->start(job, ordinal, *found.worker, task.attempt + 1, orders, now);
+    }
+}
+
+void scheduler::implementation::log_wait(
+    job_entry& job,
+    task_name const& task,
+    candidate const& found,
+    base::instant now)
+{
+    if (now - this->wait_lines_since >= wait_lines_period) {
+        this->wait_lines_since = now;
+        this->wait_lines_left = wait_lines_limit;
+    }
+    if (this->wait_lines_left == 0 || now - job.wait_logged_at < wait_gap) {
+        return;
+    }
+    --this->wait_lines_left;
+    job.wait_logged_at = now;
+    auto const count = [&](obstacle why) { return found.obstacles.of(why); };
+    this->log(base::event_line{"task_waits"}
+                  .add("task", to_string(task))
+                  .add("waited_ms", now - job.seen_at)
+                  .add("unusable", count(obstacle::unusable))
+                  .add("not_allowed", count(obstacle::not_allowed))
+                  .add("no_processors", count(obstacle::processors))
+                  .add("no_memory", count(obstacle::memory))
+                  .add("no_accelerators", count(obstacle::accelerators))
+                  .add("too_slow", count(obstacle::speed)));
+}
+
+void scheduler::implementation::set_first_pace(
+    worker_entry& worker, run_name const& run)
+{
+    constexpr double full_speed = 100; // percent
+    auto& taken = worker.runs.at(run);
+    filling_run filling{
+        .image = taken.image,
+        .full_share = static_cast<double>(taken.need.processors) /
+                      static_cast<double>(std::max<std::int64_t>(
+                          1, worker.info.capacity.processors))};
+    filling.percent = static_cast<int>(
+        full_speed * bearable_pace(
+                         this->interference, scene_of(worker), worker.fillings,
+                         filling.image, filling.full_share));
+    taken.percent = filling.percent;
+    worker.fillings.push_back(filling);
+}
+
+void scheduler::implementation::start(
+    job_entry& job,
+    std::size_t ordinal,
+    std::size_t index,
+    std::uint32_t attempt,
+    std::vector<worker_order>& orders,
+    base::instant now)
+{
+    auto& worker = this->workers[index];
+    auto const name = job.name_of(ordinal);
+    auto const lease_until = worker.clock.likely(now) + this->options.lease.ms;
+    worker.leased_until_ms = std::max(worker.leased_until_ms, lease_until);
+    auto const& wanted = job.spec.steps[name.step];
+    this->open_run(
+        job, ordinal, {.worker = index, .attempt = attempt, .settled_at = now},
+        now);
+    if (wanted.is_filling) {
+        this->set_first_pace(worker, {name, attempt});
+    }
+    auto const& task = job.tasks[ordinal];
+    this->log(base::event_line{"run_start"}
+                  .add("task", to_string(name))
+                  .add("attempt", attempt)
+                  .add("worker", worker.info.id)
+                  .add("used", worker.used.processors)
+                  .add("capacity", worker.info.capacity.processors)
+                  .add("report_age_ms", now - worker.heard_at)
+                  .add("checkpoint", task.checkpoint)
+                  .add("waited_ms", now - job.seen_at));
+    orders.emplace_back(start_order{
+        .worker = worker.info.id,
+        .address = worker.info.address,
+        .run = {name, attempt},
+        .payload = job.spec.payload,
+        .lease_until_ms = lease_until,
+        .token = this->options.token,
+        .checkpoint =
+            job.spec.steps[name.step].has_checkpoints ? task.checkpoint : ""});
+}
+
+} // namespace foxtaillift::jobs
