Move filling tasks that stand still; resolve lost starts at once

Cause 1: a filling task stayed where it was placed. A task that has less than 45% of its speed for 0.8 s, and a checkpoint or little work done, is now stopped if it would have 60% elsewhere.

Cause 2: a start without an answer was known as unknown after 1,000 ms and resolved by the next two looks, each held back for up to 1 s: 1.3 to 3.0 s until the task could start again. Reports that a newer one has overtaken are dropped.

Cause 3: tasks of jobs that can never be done barred sound workers, up to a tenth of them at a burst.

Each of the five new tests failed with its change taken out.

--- a/libs/jobs/include/foxtaillift/jobs/leader.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/leader.hpp
@@ -449,13 +449,14 @@
     {
         auto const sent_at = this->ports.now();
         this->ports.look(
-            order, this->guarded(
-                       [this, id = order.worker, sent_at](
-                           order_status status, worker_report const& report) {
-                           this->decisions.on_look(
-                               id, status, report, sent_at, this->ports.now());
-                           this->wake();
-                       }));
+            order, this->guarded([this, id = order.worker, sent_at,
+                                  is_extra = order.is_extra](
+                                     order_status status,
+                                     worker_report const& report) {
+                this->decisions.on_look(
+                    id, status, report, sent_at, this->ports.now(), is_extra);
+                this->wake();
+            }));
     }
 
     void carry_out(start_order const& order)
--- a/libs/jobs/include/foxtaillift/jobs/scheduler.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/scheduler.hpp
@@ -124,12 +124,14 @@
     /// Does nothing if the job is unknown or over.
     void cancel_job(std::string_view job, base::instant now);
 
+    /// `is_extra`: the answer to an order that was marked so.
     void on_look(
         std::string_view worker,
         order_status status,
         worker_report const& report,
         base::instant sent_at,
-        base::instant now);
+        base::instant now,
+        bool is_extra = false);
     void on_start(
         std::string_view worker,
         run_name const& run,
--- a/libs/jobs/include/foxtaillift/jobs/worker.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/worker.hpp
@@ -93,6 +93,8 @@
     /// End of the lease on the worker's clock; none: the lease stays.
     std::optional<std::int64_t> lease_until_ms{};
     base::duration wait{};
+    /// Sent beside a look whose answer waits for an end.
+    bool is_extra = false;
 };
 
 struct start_order
--- a/libs/jobs/src/scheduler.cpp
+++ b/libs/jobs/src/scheduler.cpp
@@ -101,10 +101,11 @@
     order_status status,
     worker_report const& report,
     base::instant sent_at,
-    base::instant now)
+    base::instant now,
+    bool is_extra)
 {
     if (auto const index = this->impl->workers.find(worker)) {
-        this->impl->on_look(*index, status, report, sent_at, now);
+        this->impl->on_look(*index, status, report, sent_at, now, is_extra);
     }
 }
 
--- a/libs/jobs/src/scheduler_core.hpp
+++ b/libs/jobs/src/scheduler_core.hpp
@@ -71,7 +71,7 @@
     std::map<std::size_t, std::size_t> const& own_runs;
     std::string_view own_rack{}; ///< of the step's other tasks; may be empty
     std::optional<std::size_t> avoided{}; ///< where the task failed
-    base::instant idle_since{};
+    double least_speed = 0; ///< of a filling task; see least_speed_after()
 };
 
 struct candidate
@@ -113,7 +113,8 @@
         order_status status,
         worker_report const& report,
         base::instant sent_at,
-        base::instant now);
+        base::instant now,
+        bool is_extra);
     void on_start(
         std::size_t worker,
         run_name const& run,
@@ -175,6 +176,9 @@
     std::vector<unplaceable> unplaced;
     std::size_t starts_left = 0;    ///< in the current run
     std::size_t next_candidate = 0; ///< where the next search begins
+    base::instant relocated_at{-1'000'000};
+    std::size_t next_relocated = 0;   ///< worker that is regarded first
+    std::size_t relocations_left = 0; ///< searches in the current run
     std::set<std::pair<std::size_t, run_name>> stops; ///< wanted, not yet over
     std::map<std::string, std::vector<orphan_run>> orphans; ///< by job
     std::vector<std::string> dirty;
@@ -234,9 +238,24 @@
     void expire_leases(base::instant now);
     void add_stops(std::vector<worker_order>& orders, base::instant now);
     void add_paces(std::vector<worker_order>& orders);
+    void add_extra_look(
+        std::vector<worker_order>& orders,
+        worker_entry& worker,
+        base::instant now);
     void add_looks(
         std::vector<worker_order>& orders, base::instant now, bool may_grant);
 
+    // scheduler_relocation.cpp
+    /// Stops filling tasks that hardly work where they are, if they would work
+    /// elsewhere; they go on there from their checkpoints.
+    void relocate_slowed(base::instant now);
+    void relocate_from(std::size_t worker, base::instant now);
+    [[nodiscard]] bool is_relocatable(
+        std::size_t worker,
+        run_name const& run,
+        run_entry const& entry,
+        base::instant now) const;
+
     // scheduler_search.cpp
     /// Part of the filling work that cannot be done on a worker any more once
     /// the task is there; 0 to 1.
--- a/libs/jobs/src/scheduler_orders.cpp
+++ b/libs/jobs/src/scheduler_orders.cpp
@@ -17,6 +17,10 @@
 constexpr base::duration short_wait = base::milliseconds(100);
 constexpr base::duration paced_wait = base::milliseconds(500);
 
+/// Between looks that tell what became of a start without an answer; a stop
+/// that rules it out is answered in between.
+constexpr base::duration extra_look_gap = base::milliseconds(30);
+
 /// Without runs a worker is only looked at to see that it lives.
 constexpr base::duration idle_wait = base::milliseconds(2000);
 
@@ -87,6 +91,7 @@
     this->add_stops(orders, now);
     if (may_grant) {
         this->place(orders, now, wall_ms);
+        this->relocate_slowed(now);
     }
     this->add_paces(orders);
     this->add_looks(orders, now, may_grant);
@@ -171,6 +176,26 @@
     }
 }
 
+/// The answer of the usual look may be held back for a second, until a run
+/// ends.
+void scheduler::implementation::add_extra_look(
+    std::vector<worker_order>& orders, worker_entry& worker, base::instant now)
+{
+    if (worker.unresolved.empty() || worker.is_extra_look_out ||
+        worker.silent_looks > 0 ||
+        now - worker.extra_look_at < extra_look_gap) {
+        return;
+    }
+    worker.is_extra_look_out = true;
+    worker.extra_look_at = now;
+    orders.emplace_back(look_order{
+        .worker = worker.info.id,
+        .address = worker.info.address,
+        .token = this->options.token,
+        .acknowledged = worker.acknowledged,
+        .is_extra = true});
+}
+
 void scheduler::implementation::add_looks(
     std::vector<worker_order>& orders, base::instant now, bool may_grant)
 {
@@ -180,7 +205,11 @@
     }
     for (std::size_t i = 0; i < this->workers.size(); ++i) {
         auto& worker = this->workers[i];
-        if (worker.is_look_out || now < worker.look_due) {
+        if (worker.is_look_out) {
+            this->add_extra_look(orders, worker, now);
+            continue;
+        }
+        if (now < worker.look_due) {
             continue;
         }
         bool const is_abandoned = !worker.is_listed && worker.runs.empty();
--- a/libs/jobs/src/scheduler_pacing.cpp
+++ b/libs/jobs/src/scheduler_pacing.cpp
@@ -34,6 +34,18 @@
 /// load takes up to this much until a usual look (1 s) returns.
 constexpr double watched_margin = 0.6;
 
+/// At a slower pace a filling task hardly works.
+constexpr int slowed_pace = 45; // percent
+
+void note_pace(run_entry& run, int percent, base::instant now)
+{
+    if (percent >= slowed_pace) {
+        run.slowed_since.reset();
+    } else if (!run.slowed_since) {
+        run.slowed_since = now;
+    }
+}
+
 } // namespace
 
 void scheduler::implementation::update_pace(
@@ -48,6 +60,7 @@
         std::max<std::int64_t>(1, worker.info.capacity.processors));
     std::map<image_number, double> shares;
     std::vector<occupancy*> filling_entries;
+    std::vector<run_entry*> filling_runs;
     for (auto const& reported : report.running) {
         auto const found = worker.runs.find(reported.run);
         if (found == worker.runs.end() || !found->second.is_filling) {
@@ -56,7 +69,7 @@
         auto& taken = found->second;
         shares[taken.image] += static_cast<double>(reported.recent) / capacity;
         auto const* const job = this->find_job(reported.run.task.job);
-        auto const* const entry = this->find_run(index, reported.run);
+        auto* const entry = this->find_run(index, reported.run);
         auto const* const queue =
             job == nullptr ? nullptr : this->queue_of(*job);
         worker.fillings.push_back(
@@ -70,13 +83,17 @@
                      : urgency_of(
                            *job, *queue, *entry, reported.run.task.step, now)});
         filling_entries.push_back(&taken);
+        filling_runs.push_back(entry);
     }
     this->update_served(index, report, shares, now);
     worker.versatility =
         this->mix.versatility(this->interference, worker.serving_images());
     if (worker.served.empty() || worker.fillings.empty()) {
-        for (auto* const taken : filling_entries) {
-            taken->percent = at_work;
+        for (std::size_t i = 0; i < filling_entries.size(); ++i) {
+            filling_entries[i]->percent = at_work;
+            if (filling_runs[i] != nullptr) {
+                note_pace(*filling_runs[i], at_work, now);
+            }
         }
         for (auto& run : worker.fillings) {
             run.percent = at_work;
@@ -95,6 +112,9 @@
             (is_stop_or_full && percent != current)) {
             current = percent;
         }
+        if (filling_runs[i] != nullptr) {
+            note_pace(*filling_runs[i], current, now);
+        }
     }
     worker.is_tight = slowed > 0 || margin_left < watched_margin;
 }
--- a/libs/jobs/src/scheduler_placing.cpp
+++ b/libs/jobs/src/scheduler_placing.cpp
@@ -190,7 +190,7 @@
              .own_runs = own,
              .own_rack = own_rack,
              .avoided = task.avoided_worker,
-             .idle_since = idle_since},
+             .least_speed = kind.least_speed},
             now);
         if (!found.worker) {
             this->log_wait(job, job.name_of(i), found, now);
@@ -244,7 +244,7 @@
              .own_runs = own,
              .own_rack = own_rack,
              .avoided = job.tasks[i].avoided_worker,
-             .idle_since = job.tasks[i].idle_since},
+             .least_speed = least_speed_after(now - job.tasks[i].idle_since)},
             now);
         if (!found.worker) {
             this->log_wait(job, job.name_of(i), found, now);
@@ -312,7 +312,7 @@
         {.wanted = &wanted,
          .own_runs = own,
          .avoided = slow,
-         .idle_since = now},
+         .least_speed = least_speed_after({})},
         now);
     if (found.worker && *found.worker != slow) {
         this->start(job, ordinal, *found.worker, task.attempt + 1, orders, now);
--- a/libs/jobs/src/scheduler_reports.cpp
+++ b/libs/jobs/src/scheduler_reports.cpp
@@ -63,11 +63,19 @@
     order_status status,
     worker_report const& report,
     base::instant sent_at,
-    base::instant now)
+    base::instant now,
+    bool is_extra)
 {
     auto& worker = this->workers[index];
-    worker.is_look_out = false;
-    worker.look_due = now;
+    if (is_extra) {
+        worker.is_extra_look_out = false;
+        if (status != order_status::done && status != order_status::fenced) {
+            return; // the usual look tells whether the worker is silent
+        }
+    } else {
+        worker.is_look_out = false;
+        worker.look_due = now;
+    }
     if (status == order_status::done) {
         this->take_report(index, report, sent_at, now);
         return;
@@ -111,6 +119,9 @@
     }
     bool const is_born_again =
         worker.born_ms != 0 && worker.born_ms != report.born_ms;
+    if (!is_born_again && worker.clock.is_overtaken(report.clock_ms)) {
+        return; // an answer on another connection was faster
+    }
     if (is_born_again) {
         this->lose_runs(index, "the worker has started again");
         worker.processed = 0;
@@ -262,8 +273,12 @@
     base::instant now)
 {
     auto& worker = this->workers[index];
-    ++worker.failures_in_row;
-    if (worker.failures_in_row >= failures_until_barred) {
+    auto& task = job.tasks[ordinal];
+    // A task that failed before is more likely at fault than its workers: some
+    // jobs can never be done.
+    bool const is_counted = task.failed_attempts.empty();
+    worker.failures_in_row += is_counted ? 1 : 0;
+    if (is_counted && worker.failures_in_row >= failures_until_barred) {
         auto const shift = std::min(
             worker.failures_in_row - failures_until_barred,
             longest_barred_shift);
@@ -273,7 +288,6 @@
                       .add("failures_in_row", worker.failures_in_row)
                       .add("for_ms", worker.barred_until - now));
     }
-    auto& task = job.tasks[ordinal];
     task.avoided_worker = index;
     auto const name = job.name_of(ordinal);
     if (job.spec.steps[name.step].is_lasting || task.is_done) {
@@ -306,6 +320,7 @@
     if (run->phase != run_phase::running) {
         run->phase = run_phase::running;
         run->settled_at = now;
+        this->workers[index].unresolved.erase(reported.run);
     }
     if (run->percent != reported.percent) {
         run->percent = reported.percent;
@@ -469,6 +484,7 @@
     if (status == order_status::unknown) {
         entry->phase = run_phase::unknown;
         entry->settled_at = now;
+        this->workers[index].unresolved.insert(run);
         return;
     }
     auto const ordinal = *job->ordinal(run.task);
--- a/libs/jobs/src/scheduler_search.cpp
+++ b/libs/jobs/src/scheduler_search.cpp
@@ -70,7 +70,6 @@
 {
     auto const& wanted = *search.wanted;
     auto const image = this->interference.number_of(wanted.image);
-    double const least_speed = least_speed_after(now - search.idle_since);
     // Where a task has no bond to particular workers, some candidates are as
     // good as all; serving tasks are packed, which needs the whole view.
     bool const is_bound = wanted.is_lasting || wanted.is_rack_bound ||
@@ -101,7 +100,7 @@
             .image = image,
             .own_runs = mine == search.own_runs.end() ? 0 : mine->second,
             .own_rack = search.own_rack,
-            .least_speed = least_speed,
+            .least_speed = search.least_speed,
             .is_avoided = search.avoided == w};
         auto const missing = find_obstacle(this->workers[w], wish);
         if (missing != obstacle::none) {
--- a/libs/jobs/src/worker_table.cpp
+++ b/libs/jobs/src/worker_table.cpp
@@ -32,6 +32,7 @@
     this->runs.erase(found);
     this->histories.erase(run);
     this->exceeding_since.erase(run);
+    this->unresolved.erase(run);
     resources counted = taken.need;
     if (taken.is_filling) {
         counted.processors = 0;
--- a/libs/jobs/src/worker_table.hpp
+++ b/libs/jobs/src/worker_table.hpp
@@ -10,6 +10,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -30,6 +31,11 @@
     }
     void forget() { this->clock.reset(); }
     [[nodiscard]] bool is_known() const { return this->clock.has_value(); }
+    /// An answer with this reading was made before the last one.
+    [[nodiscard]] bool is_overtaken(std::int64_t clock_ms) const
+    {
+        return this->clock && clock_ms < *this->clock;
+    }
     [[nodiscard]] std::int64_t likely(base::instant now) const
     {
         return *this->clock + (now - this->at).ms;
@@ -68,7 +74,11 @@
     bool is_gone = false;             ///< nothing can run there any more
 
     bool is_look_out = false;
+    bool is_extra_look_out = false;
+    base::instant extra_look_at{-1'000'000};
     base::instant look_due{};
+    /// Runs whose starts were not answered; a look tells what became of them.
+    std::set<run_name> unresolved{};
     int silent_looks = 0;                    ///< in a row
     base::instant heard_at{-1'000'000};      ///< time of the last report
     base::instant heard_sent_at{-1'000'000}; ///< when that look was sent
--- /dev/null
+++ b/libs/jobs/tests/relocation_test.cpp
@@ -0,0 +1,155 @@
+#include "scheduler_fixture.hpp"
+
+#include <doctest/doctest.h>
+
+#include <optional>
+#include <string>
+#include <utility>
+
+namespace base = foxtaillift::base;
+using namespace foxtaillift::jobs;
+using foxtaillift::jobs::testing::scheduler_fixture;
+
+namespace
+{
+
+constexpr std::int64_t target_ms = 10;
+constexpr std::int64_t calm_tail_ms = 3;
+constexpr std::int64_t disturbed_tail_ms = 200;
+
+/// A worker on which a service and a filling task run.
+class shared_worker_fixture : public scheduler_fixture
+{
+public:
+    explicit shared_worker_fixture(step second)
+        : scheduler_fixture(1)
+    {
+        this->list("a", 16'000);
+        this->take<look_order>();
+        this->answer("a", this->report());
+        this->service = this->start_one(
+            "service", {.count = 1,
+                        .need = {.processors = 8000},
+                        .is_lasting = true,
+                        .image = "s",
+                        .tail_target_ms = target_ms});
+        this->filling = this->start_one("filling", std::move(second));
+    }
+
+    /// Reports every half second for so long, with this tail of the service.
+    /// Returns the stop of the filling task, if there was one.
+    std::optional<stop_order>
+    report_for(std::int64_t ms, std::int64_t tail_ms, int percent)
+    {
+        constexpr std::int64_t period_ms = 500;
+        std::optional<stop_order> stopped;
+        for (std::int64_t t = 0; t < ms; t += period_ms) {
+            this->wait(period_ms);
+            auto report = this->report();
+            report.running = {
+                {.run = this->service, .percent = 100, .recent = tail_ms},
+                {.run = this->filling,
+                 .checkpoint = "c",
+                 .percent = percent,
+                 .recent = 1000}};
+            this->answer("a", report);
+            if (this->is_second_listed) {
+                this->answer("b", this->report());
+            }
+            auto const stops = this->take<stop_order>();
+            if (!stops.empty()) {
+                stopped = stops.front();
+            }
+        }
+        return stopped;
+    }
+
+    void list_second()
+    {
+        this->list("b", 16'000);
+        this->take<look_order>();
+        this->answer("b", this->report());
+        this->is_second_listed = true;
+    }
+
+    run_name service{};
+    run_name filling{};
+
+private:
+    run_name start_one(std::string const& job, step wanted)
+    {
+        this->add(job, std::move(wanted));
+        auto const starts = this->take<start_order>();
+        REQUIRE(starts.size() == 1);
+        this->decisions.on_start(
+            "a", starts[0].run, order_status::done, this->now);
+        return starts[0].run;
+    }
+
+    bool is_second_listed = false;
+};
+
+step filling_step(bool has_checkpoints)
+{
+    return {
+        .count = 1,
+        .need = {.processors = 2000},
+        .estimate = base::milliseconds(2000),
+        .has_checkpoints = has_checkpoints,
+        .is_filling = true,
+        .image = "f"};
+}
+
+constexpr std::int64_t crest_ms = 5000;
+constexpr int half_done = 50;
+
+} // namespace
+
+// The pattern: filling tasks beside services at their crest, while other
+// workers could run them (quiet-1 and trouble-2 of the Directorate: half of the
+// filling tasks stood still). Guards against a job that is late since its task
+// stays where it hardly works.
+TEST_CASE("a filling task that stands still goes on where it can work")
+{
+    shared_worker_fixture test{filling_step(true)};
+    CHECK_FALSE(test.report_for(crest_ms, disturbed_tail_ms, half_done));
+    test.list_second();
+    auto const stop = test.report_for(crest_ms, disturbed_tail_ms, half_done);
+    REQUIRE(stop);
+    CHECK(stop->worker == "a");
+    CHECK(stop->run == test.filling);
+
+    test.decisions.on_stop("a", stop->run, order_status::done, test.now);
+    auto report = test.report();
+    report.running = {
+        {.run = test.service, .percent = 100, .recent = disturbed_tail_ms}};
+    report.ended = {
+        {.number = 1,
+         .run = test.filling,
+         .outcome = run_outcome::stopped,
+         .checkpoint = "d"}};
+    test.answer("a", report);
+    test.answer("b", test.report());
+    auto const starts = test.take<start_order>();
+    REQUIRE(starts.size() == 1);
+    CHECK(starts[0].worker == "b");
+    CHECK(starts[0].checkpoint == "d");
+}
+
+// Guards against stops that gain nothing: a task that works, and one whose work
+// so far would be lost.
+TEST_CASE("a filling task that works or has no checkpoint stays")
+{
+    shared_worker_fixture working{filling_step(true)};
+    working.list_second();
+    CHECK_FALSE(working.report_for(crest_ms, calm_tail_ms, half_done));
+
+    shared_worker_fixture unsaved{filling_step(false)};
+    unsaved.list_second();
+    CHECK_FALSE(unsaved.report_for(crest_ms, disturbed_tail_ms, half_done));
+
+    shared_worker_fixture barely_begun{filling_step(false)};
+    barely_begun.list_second();
+    constexpr int little = 5;
+    CHECK(barely_begun.report_for(crest_ms, disturbed_tail_ms, little));
+}
--- a/libs/jobs/tests/scheduler_test.cpp
+++ b/libs/jobs/tests/scheduler_test.cpp
@@ -103,6 +103,71 @@
     CHECK(second[0].run.attempt == 2);
 }
 
+// The pattern: orders to workers that get no answer (applied_late, answer_lost)
+// while a look waits for an end. Guards against a task of a short job that
+// starts again only after the look's wait of a second, two looks in a row.
+TEST_CASE("a lost start is resolved while the usual look still waits")
+{
+    fixture test;
+    test.list("a");
+    test.take<look_order>();
+    test.answer("a", test.report());
+    test.add("j", {.count = 1, .need = {.processors = 1000}});
+    auto const first = test.take<start_order>();
+    REQUIRE(first.size() == 1);
+    REQUIRE(test.last_look["a"].wait > base::duration{}); // stays out below
+    test.wait(400);
+    test.decisions.on_start("a", first[0].run, order_status::unknown, test.now);
+
+    auto const answer_extra_look = [&] {
+        test.wait(50);
+        test.last_look.clear();
+        auto const sent_at = test.now;
+        test.take<look_order>();
+        REQUIRE(test.last_look.contains("a"));
+        CHECK(test.last_look["a"].is_extra);
+        CHECK(test.last_look["a"].wait == base::duration{});
+        test.wait(5);
+        test.decisions.on_look(
+            "a", order_status::done, test.report(), sent_at, test.now, true);
+    };
+    answer_extra_look();
+    auto const stops = test.take<stop_order>();
+    REQUIRE(stops.size() == 1);
+    test.wait(5);
+    test.decisions.on_stop("a", first[0].run, order_status::done, test.now);
+    answer_extra_look();
+    auto const second = test.take<start_order>();
+    REQUIRE(second.size() == 1);
+    CHECK(second[0].run.attempt == 2);
+}
+
+// Guards against a run that is taken as lost, or an ended one that seems to be
+// there, since an older report arrived after a newer one.
+TEST_CASE("a report that a newer one has overtaken is not used")
+{
+    fixture test;
+    test.list("a");
+    test.take<look_order>();
+    test.answer("a", test.report());
+    auto const older = test.report();
+    auto const sent_at = test.now;
+    test.add("j", {.count = 1, .need = {.processors = 1000}});
+    auto const first = test.take<start_order>();
+    REQUIRE(first.size() == 1);
+    test.decisions.on_start("a", first[0].run, order_status::done, test.now);
+    test.wait(100);
+    auto newer = test.report();
+    newer.running.push_back({.run = first[0].run, .percent = 1});
+    test.answer("a", newer);
+    test.wait(100);
+    test.decisions.on_look(
+        "a", order_status::done, older, sent_at + base::milliseconds(50),
+        test.now, true);
+    CHECK(test.take<start_order>().empty());
+    CHECK(test.decisions.running_count() == 1);
+}
+
 TEST_CASE("a run whose start was answered late is kept if it is reported")
 {
     fixture test;
@@ -371,6 +436,48 @@
     CHECK(at_bad <= 3);
 }
 
+// The pattern: jobs that can never be done (poison) beside others. Guards
+// against sound workers left out for what is the tasks' own fault: at a burst a
+// tenth of the workers was.
+TEST_CASE("tasks that fail everywhere leave out no worker")
+{
+    fixture test;
+    test.decisions.set_queues(
+        {{.name = "q", .service = "s", .max_attempts = 4}});
+    constexpr int workers = 8;
+    std::map<std::string, std::int64_t> numbers;
+    for (int i = 0; i < workers; ++i) {
+        test.list("w" + std::to_string(i), 4000);
+    }
+    test.take<look_order>();
+    for (int i = 0; i < workers; ++i) {
+        auto const id = "w" + std::to_string(i);
+        numbers[id] = 0;
+        test.answer(id, test.report());
+    }
+    constexpr std::uint32_t tasks = 4;
+    test.add("poison", {.count = tasks, .need = {.processors = 1000}});
+    constexpr int attempts = 3; // one fewer than the job may have
+    for (int attempt = 0; attempt < attempts; ++attempt) {
+        std::map<std::string, worker_report> reports;
+        for (auto const& [id, number] : numbers) {
+            reports[id] = test.report();
+        }
+        for (auto const& start : test.take<start_order>()) {
+            test.decisions.on_start(
+                start.worker, start.run, order_status::done, test.now);
+            reports[start.worker].ended.push_back(
+                ended(++numbers[start.worker], start.run, run_outcome::failed));
+        }
+        test.wait(50);
+        for (auto& [id, report] : reports) {
+            report.clock_ms = test.now.ms;
+            test.answer(id, report);
+        }
+    }
+    CHECK(test.decisions.load(test.now).usable_workers == workers);
+}
+
 // Guards against ends that are not acknowledged for seconds while more jobs
 // change than one write holds (grown Directorate: a third of all ends).
 TEST_CASE("ends are acknowledged although changes of other jobs stay out")
