--- a/libs/jobs/include/foxtaillift/jobs/coordinator.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/coordinator.hpp
@@ -33,9 +33,6 @@
     std::string nonce{};        ///< unique for this process
     election_options electing{};
     leader_options leading{};
-    /// Callers that are refused since the store or the leader is away come back
-    /// after this; a gap of either usually lasts one to a few seconds.
-    base::duration retry_after = base::seconds(1);
 };
 
 /// `Ports` connects it to the outside and provides
--- a/libs/jobs/src/placement.cpp
+++ b/libs/jobs/src/placement.cpp
@@ -24,8 +24,6 @@
 /// Of the processors of a worker that filling tasks cannot use any more since
 /// a serving task disturbed by them is there. Outweighs any difference in load.
 constexpr double lost_room_cost = 20.0;
-/// Of a worker without serving tasks, to tasks that neither serve nor fill.
-constexpr double beside_serving_gain = 0.0;
 /// Of a worker that suits every filling image, to one that suits few: what
 /// disturbs only some services leaves the others to the rest.
 constexpr double versatility_cost = 0.6;
@@ -190,12 +188,6 @@
         }
         cost = 1 - speed + disturbance(worker, model, wish) +
                versatility_cost * worker.versatility;
-    } else {
-        // Other tasks disturb no serving task; beside those they leave the
-        // workers on which filling tasks are fast.
-        cost += beside_serving_gain *
-                (1 - static_cast<double>(worker.serving_processors) /
-                         capacity_of(worker));
     }
     cost += own_run_cost * static_cast<double>(wish.own_runs);
     cost += worker.failures_in_row > 0 ? doubt_cost : 0;
--- a/libs/jobs/src/scheduler_placing.cpp
+++ b/libs/jobs/src/scheduler_placing.cpp
@@ -11,9 +11,6 @@
 namespace
 {
 
-/// Three times its objective a job earns nothing more.
-constexpr std::int64_t worthless_factor = 3;
-
 /// What a job can still earn. Under overload jobs that are late anyway must not
 /// make others late, so these go first.
 enum class chance_of_worth
--- a/libs/jobs/src/urgency.cpp
+++ b/libs/jobs/src/urgency.cpp
@@ -8,19 +8,13 @@
 namespace
 {
 
-/// Three times its objective a job earns nothing more.
-constexpr std::int64_t worthless_factor = 3;
-
 /// What work on a late job is worth beside one that can be in time: callers
 /// value a late job at 0.15.
 constexpr double late_urgency = 0.3;
 constexpr double worthless_urgency = 0.05;
 
-/// A run that needs this part of its full speed to be in time is as urgent as
-/// can be; one that needs less can catch up later.
-
-/// One that needs more than its full speed by this much will be late; the rest
-/// is the error of estimates.
+/// A run that needs more than its full speed by this much will be late; the
+/// rest is the error of estimates.
 constexpr double hopeless_speed = 1.3;
 
 /// Less progress says little of a run's speed.
@@ -63,7 +57,7 @@
     double const objective = static_cast<double>(queue.target_latency.ms) +
                              queue.target_factor * chain;
     double const age = static_cast<double>((now - job.seen_at).ms);
-    if (age > objective * worthless_factor) {
+    if (age > objective * static_cast<double>(worthless_factor)) {
         return worthless_urgency;
     }
     double const left =
--- a/libs/jobs/src/urgency.hpp
+++ b/libs/jobs/src/urgency.hpp
@@ -6,6 +6,9 @@
 namespace foxtaillift::jobs
 {
 
+/// Three times its objective a job earns nothing more.
+constexpr std::int64_t worthless_factor = 3;
+
 /// The time within which callers want the job to end.
 base::duration objective_of(job_entry const& job, queue const& queue);
 
