Move runs from workers that are about to leave

Cause: whatever runs on a worker when it leaves ends with it, and its tasks could start elsewhere only when the worker's leases had run out, up to 6 s later.

The platform tells how long a draining worker stays at least. Runs that would not end by then are now stopped shortly before (the time of a stop and a report), so that they go on from their checkpoints; tasks that may be unavailable only some at a time begin earlier. A run whose task finds no room elsewhere stays.

Ruled out: moving at once when a worker begins to drain.

--- a/libs/jobs/include/foxtaillift/jobs/worker.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/worker.hpp
@@ -24,6 +24,9 @@
     std::vector<std::string> labels{};
     resources capacity{};
     bool is_draining = false;
+    /// While it drains: it leaves no sooner than this after the entry was
+    /// written.
+    base::duration remaining{};
 };
 
 /// A run that a worker reports as present.
--- a/libs/jobs/src/scheduler.cpp
+++ b/libs/jobs/src/scheduler.cpp
@@ -29,10 +29,12 @@
                             .add("address", worker.address)
                             .add("rack", worker.rack)
                             .add("draining", worker.is_draining)
+                            .add("remaining_ms", worker.remaining)
                             .add("processors", worker.capacity.processors));
     }
     entry.info = worker;
     entry.is_listed = true;
+    entry.leaves_at = now + worker.remaining;
 }
 
 void scheduler::recall_worker(worker_info const& worker, base::instant now)
--- a/libs/jobs/src/scheduler_core.hpp
+++ b/libs/jobs/src/scheduler_core.hpp
@@ -215,6 +215,7 @@
     base::instant relocated_at{-1'000'000};
     std::size_t next_relocated = 0;    ///< worker that is regarded first
     std::size_t relocations_left = 0;  ///< searches in the current run
+    base::instant left_at{-1'000'000}; ///< last search for runs that must leave
     std::set<std::pair<std::size_t, run_name>> stops; ///< wanted, not yet over
     std::map<std::string, std::vector<orphan_run>> orphans; ///< by job
     std::vector<std::string> dirty;
@@ -281,6 +282,18 @@
     void add_looks(
         std::vector<worker_order>& orders, base::instant now, bool may_grant);
 
+    // scheduler_draining.cpp
+    /// Stops runs that would not end before their worker leaves, so that they
+    /// go on elsewhere while their checkpoints can still be read.
+    void leave_draining_workers(base::instant now);
+    void leave_worker(std::size_t worker, base::instant now);
+    /// The run cannot stay until the worker leaves, and may be stopped now.
+    [[nodiscard]] bool is_to_leave(
+        std::size_t worker,
+        run_name const& run,
+        occupancy const& taken,
+        base::instant now) const;
+
     // scheduler_relocation.cpp
     /// Stops filling tasks that hardly work where they are, if they would work
     /// elsewhere; they go on there from their checkpoints.
--- a/libs/jobs/src/scheduler_orders.cpp
+++ b/libs/jobs/src/scheduler_orders.cpp
@@ -93,6 +93,7 @@
     if (may_grant) {
         this->find_vacancies(now);
         this->place(orders, now, wall_ms);
+        this->leave_draining_workers(now);
         this->relocate_slowed(now);
     }
     this->add_stops(orders, now);
--- a/libs/jobs/src/urgency.cpp
+++ b/libs/jobs/src/urgency.cpp
@@ -41,6 +41,12 @@
                queue.target_factor * static_cast<double>(job.chain.ms)));
 }
 
+base::duration time_left(run_entry const& run, step const& step)
+{
+    return base::milliseconds(static_cast<std::int64_t>(
+        duration_of(run, step) * (1 - std::max(0, run.percent) / all_work)));
+}
+
 double urgency_of(
     job_entry const& job,
     queue const& queue,
--- a/libs/jobs/src/urgency.hpp
+++ b/libs/jobs/src/urgency.hpp
@@ -12,6 +12,9 @@
 /// The time within which callers want the job to end.
 base::duration objective_of(job_entry const& job, queue const& queue);
 
+/// For how long the run still works at full speed, as far as is known.
+base::duration time_left(run_entry const& run, step const& step);
+
 /// What work on a filling run is worth beside work without which its job would
 /// be late; 0 to 1.
 double urgency_of(
--- a/libs/jobs/src/worker_table.hpp
+++ b/libs/jobs/src/worker_table.hpp
@@ -67,6 +67,7 @@
     worker_info info{};
     bool is_listed = false;
     base::instant unlisted_at{};
+    base::instant leaves_at{}; ///< while it drains: no sooner than this
     clock_estimate clock{};
     std::int64_t born_ms = 0;         ///< 0: has not reported yet
     std::int64_t leased_until_ms = 0; ///< latest ever granted, on its clock
