Start tasks of advised queues with the tickets of their adviser

Cause: a start on a queue with an adviser carried no ticket, so that every worker refused it and the job waited for good.

Before a start the scheduler asks about the 30 best workers with room of which nothing is known, two calls at a time, and starts with the ticket of the worker's present life while it holds. A refused or expired ticket is asked for again, a worker that is not allowed is not.

Ruled out: asking while the steps before still run. Tickets expire within seconds, and the estimates of run times are off by up to nine tenths.

--- a/libs/jobs/benchmarks/busy_fleet_benchmark.cpp
+++ b/libs/jobs/benchmarks/busy_fleet_benchmark.cpp
@@ -306,6 +306,8 @@
             order.worker, order.run, order_status::done, this->now);
     }
 
+    void carry_out(advice_order const&) {} // the queue has no adviser
+
     void carry_out(pace_order const& order)
     {
         for (auto& each : this->find(order.worker).runs) {
--- a/libs/jobs/include/foxtaillift/jobs/coordinator.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/coordinator.hpp
@@ -46,6 +46,7 @@
 ///     void change(row_change, callback(change_result));
 ///     void look(look_order, callback(order_status, worker_report const&));
 ///     void start(start_order, callback(order_status)); // stop, pace alike
+///     void advise(advice_order, callback(std::optional<advice>));
 ///     void ask(address, peer_request, callback(std::optional<peer_reply>));
 ///     void follow_workers(bool); // list_worker and unlist_worker follow
 ///
--- a/libs/jobs/include/foxtaillift/jobs/job.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/job.hpp
@@ -84,6 +84,16 @@
     auto operator<=>(task_name const&) const = default;
 };
 
+/// Names one step of one occurrence of a job.
+struct step_name
+{
+    std::string job{};
+    std::uint32_t occurrence = 0;
+    std::uint32_t step = 0;
+
+    auto operator<=>(step_name const&) const = default;
+};
+
 /// One start of a task. Attempts of a task are numbered from 1 and only grow.
 struct run_name
 {
@@ -96,9 +106,21 @@
 /// "job.occurrence.step.index", for logs and for the wire.
 std::string to_string(task_name const& task);
 
+/// "job.occurrence.step", for logs and for the wire.
+std::string to_string(step_name const& step);
+
 /// Returns nothing if the text has another form.
 std::optional<task_name> parse_task_name(std::string_view text);
 
+/// A service outside that knows which workers may run a step, and the time that
+/// its answers take.
+struct adviser_terms
+{
+    base::duration decision{};  ///< of a call
+    base::duration by_worker{}; ///< more for each worker that is asked about
+    base::duration validity{};  ///< of a ticket
+};
+
 /// A queue of jobs, from the fleet configuration.
 struct queue
 {
@@ -108,6 +130,8 @@
     std::uint32_t max_attempts = 1; ///< failed runs until a job fails
     double target_factor = 1;       ///< of the longest chain of work
     base::duration target_latency{};
+    /// Starts need a ticket of this service; without a value they need none.
+    std::optional<adviser_terms> adviser{};
 };
 
 enum class job_state
--- a/libs/jobs/include/foxtaillift/jobs/leader.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/leader.hpp
@@ -498,6 +498,16 @@
             }));
     }
 
+    void carry_out(advice_order const& order)
+    {
+        this->ports.advise(
+            order,
+            this->guarded([this, order](std::optional<advice> const& answer) {
+                this->decisions.on_advice(order, answer, this->ports.now());
+                this->wake();
+            }));
+    }
+
     void carry_out(pace_order const& order)
     {
         this->ports.pace(
--- a/libs/jobs/include/foxtaillift/jobs/scheduler.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/scheduler.hpp
@@ -157,6 +157,12 @@
     void
     on_pace(std::string_view worker, run_name const& run, order_status status);
 
+    /// Nothing if the adviser gave no usable answer.
+    void on_advice(
+        advice_order const& asked,
+        std::optional<advice> const& answer,
+        base::instant now);
+
     /// Returns the orders that are due. `may_grant` is false while the
     /// leadership is in doubt: then nothing starts and no lease grows.
     /// `wall_ms` is the time of day, for timed jobs.
--- a/libs/jobs/include/foxtaillift/jobs/worker.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/worker.hpp
@@ -86,6 +86,7 @@
     outdated,   ///< a higher attempt is known there
     late,       ///< its lease had run out on arrival
     no_room,    ///< not started for want of resources
+    no_ticket,  ///< not started for want of a valid ticket
     invalid,    ///< refused as malformed
     not_run,    ///< certainly not carried out; may be sent again
     other_life, ///< another worker answers at that address
@@ -118,6 +119,7 @@
     std::int64_t lease_until_ms = 0; ///< on the worker's clock
     std::int64_t token = 0;
     std::string checkpoint{}; ///< empty: from the beginning
+    std::string ticket{};     ///< of the queue's adviser; empty: it has none
 };
 
 struct stop_order
@@ -138,7 +140,28 @@
     std::int64_t token = 0;
 };
 
+/// Asks the adviser of a queue which of these workers may run the step.
+struct advice_order
+{
+    step_name step{};
+    std::vector<std::string> workers{};
+    base::duration time_limit{};
+};
+
+/// What an adviser answers: the workers that may run the step, each with the
+/// ticket that its starts carry.
+struct advice
+{
+    struct ticket
+    {
+        std::string worker{};
+        std::string value{};
+    };
+    std::vector<ticket> allowed{};
+    base::duration validity{}; ///< of the tickets
+};
+
 using worker_order =
-    std::variant<look_order, start_order, stop_order, pace_order>;
+    std::variant<look_order, start_order, stop_order, pace_order, advice_order>;
 
 } // namespace foxtaillift::jobs
--- a/libs/jobs/src/job.cpp
+++ b/libs/jobs/src/job.cpp
@@ -91,6 +91,12 @@
            std::to_string(task.step) + "." + std::to_string(task.index);
 }
 
+std::string to_string(step_name const& step)
+{
+    return step.job + "." + std::to_string(step.occurrence) + "." +
+           std::to_string(step.step);
+}
+
 std::optional<task_name> parse_task_name(std::string_view text)
 {
     std::array<std::uint32_t, 3> numbers{};
--- a/libs/jobs/src/job_table.hpp
+++ b/libs/jobs/src/job_table.hpp
@@ -8,6 +8,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -58,6 +59,20 @@
     std::vector<run_entry> runs{};
 };
 
+/// What an adviser said of the workers for one step.
+struct step_advice
+{
+    struct verdict
+    {
+        std::string ticket{};        ///< empty: the worker may not run it
+        std::int64_t born_ms = 0;    ///< life of the worker that it holds for
+        base::instant valid_until{}; ///< of the ticket
+    };
+    std::map<std::size_t, verdict> verdicts{}; ///< by worker
+    bool is_asked = false;                     ///< a call is out
+    base::instant ask_after{};
+};
+
 /// One step of one occurrence.
 struct step_entry
 {
@@ -65,6 +80,7 @@
     std::uint32_t idle = 0;    ///< neither done nor with a run
     base::instant ready_at{};  ///< when it could first start; 0: not yet
     headroom_track headroom{}; ///< of its serving tasks
+    step_advice advice{};      ///< where the queue has an adviser
 };
 
 struct job_entry
--- a/libs/jobs/src/placement.cpp
+++ b/libs/jobs/src/placement.cpp
@@ -151,6 +151,8 @@
         return "unusable";
     case obstacle::not_allowed:
         return "not_allowed";
+    case obstacle::no_ticket:
+        return "no_ticket";
     case obstacle::processors:
         return "processors";
     case obstacle::memory:
--- a/libs/jobs/src/placement.hpp
+++ b/libs/jobs/src/placement.hpp
@@ -46,6 +46,7 @@
     none,
     unusable,     ///< silent, draining, barred, of another service
     not_allowed,  ///< by a label or a limit of tasks on one worker
+    no_ticket,    ///< by the queue's adviser, or it was not asked yet
     processors,   ///< too few are free
     memory,       ///< too little is free
     accelerators, ///< too few are free
--- a/libs/jobs/src/scheduler.cpp
+++ b/libs/jobs/src/scheduler.cpp
@@ -157,6 +157,14 @@
     }
 }
 
+void scheduler::on_advice(
+    advice_order const& asked,
+    std::optional<advice> const& answer,
+    base::instant now)
+{
+    this->impl->on_advice(asked, answer, now);
+}
+
 std::vector<worker_order>
 scheduler::take_orders(base::instant now, std::int64_t wall_ms, bool may_grant)
 {
--- a/libs/jobs/src/scheduler_core.hpp
+++ b/libs/jobs/src/scheduler_core.hpp
@@ -93,6 +93,7 @@
     std::string_view own_rack{}; ///< of the step's other tasks; may be empty
     std::optional<std::size_t> avoided{}; ///< where the task failed
     double least_speed = 0; ///< of a filling task; see least_speed_after()
+    step_advice const* advice = nullptr; ///< where the queue has an adviser
 };
 
 /// A worker that may get tasks in the current run of the decisions.
@@ -108,6 +109,13 @@
     obstacle_counts obstacles{}; ///< of the workers that were looked at
 };
 
+/// A start on this life of the worker may carry a ticket.
+bool has_ticket(
+    step_advice const& advice,
+    std::size_t worker,
+    std::int64_t born_ms,
+    base::instant now);
+
 /// The part of its speed below which a filling task goes on waiting.
 double least_speed_after(base::duration waited);
 
@@ -161,6 +169,12 @@
     [[nodiscard]] bool is_majority_heard(base::instant since) const;
     bool update_recovery(base::instant now);
 
+    // Advisers (scheduler_advice.cpp)
+    void on_advice(
+        advice_order const& asked,
+        std::optional<advice> const& answer,
+        base::instant now);
+
     // Silent workers (scheduler_silence.cpp)
     std::vector<silent_worker> close_silent_workers(base::instant now);
     void on_silent_recorded(std::span<silent_worker const> record);
@@ -212,6 +226,8 @@
     /// By service; made at the start of each run, since a search looks at all
     /// of them and most have no room.
     std::map<std::string, std::vector<vacancy>, std::less<>> vacancies;
+    base::instant searched_at{};  ///< when the vacancies were found
+    std::size_t advice_calls = 0; ///< that are out
     base::instant relocated_at{-1'000'000};
     std::size_t next_relocated = 0;    ///< worker that is regarded first
     std::size_t relocations_left = 0;  ///< searches in the current run
@@ -282,6 +298,21 @@
     void add_looks(
         std::vector<worker_order>& orders, base::instant now, bool may_grant);
 
+    // scheduler_advice.cpp
+    /// What the adviser said of the step, or null if the queue has none.
+    [[nodiscard]] step_advice const*
+    advice_on(job_entry const& job, task_name const& task) const;
+    /// Asks about more workers for the step, if it may.
+    void ask_adviser(
+        job_entry& job,
+        task_name const& task,
+        std::vector<worker_order>& orders,
+        base::instant now);
+    /// The best workers with room of which the adviser has said nothing that
+    /// still holds.
+    [[nodiscard]] std::vector<std::string>
+    workers_to_ask(job_entry const& job, task_name const& task);
+
     // scheduler_draining.cpp
     /// Stops runs that would not end before their worker leaves, so that they
     /// go on elsewhere while their checkpoints can still be read.
--- a/libs/jobs/src/scheduler_draining.cpp
+++ b/libs/jobs/src/scheduler_draining.cpp
@@ -121,7 +121,8 @@
             *job, {.wanted = &job->spec.steps[run.task.step],
                    .own_runs = own_runs,
                    .avoided = index,
-                   .least_speed = least_speed_elsewhere});
+                   .least_speed = least_speed_elsewhere,
+                   .advice = this->advice_on(*job, run.task)});
         if (!found.worker) {
             continue;
         }
--- a/libs/jobs/src/scheduler_placing.cpp
+++ b/libs/jobs/src/scheduler_placing.cpp
@@ -186,11 +186,14 @@
                   .own_runs = own,
                   .own_rack = own_rack,
                   .avoided = task.avoided_worker,
-                  .least_speed = kind.least_speed});
+                  .least_speed = kind.least_speed,
+                  .advice = this->advice_on(job, job.name_of(i))});
         if (!found.worker) {
+            this->ask_adviser(job, job.name_of(i), orders, now);
             this->log_wait(job, job.name_of(i), found, now);
-            bool const is_particular =
-                !wanted.required_label.empty() || wanted.tasks_per_worker > 0;
+            bool const is_particular = !wanted.required_label.empty() ||
+                                       wanted.tasks_per_worker > 0 ||
+                                       this->queue_of(job)->adviser;
             if (!is_particular) {
                 this->unplaced.push_back(kind);
             }
@@ -240,10 +243,12 @@
              .own_runs = own,
              .own_rack = own_rack,
              .avoided = job.tasks[i].avoided_worker,
-             .least_speed = least_speed_after(now - job.tasks[i].idle_since)});
+             .least_speed = least_speed_after(now - job.tasks[i].idle_since),
+             .advice = this->advice_on(job, job.name_of(i))});
         if (!found.worker) {
-            this->log_wait(job, job.name_of(i), found, now);
             undo();
+            this->ask_adviser(job, job.name_of(i), orders, now);
+            this->log_wait(job, job.name_of(i), found, now);
             return;
         }
         auto const w = *found.worker;
@@ -307,7 +312,8 @@
         job, {.wanted = &wanted,
               .own_runs = own,
               .avoided = slow,
-              .least_speed = least_speed_after({})});
+              .least_speed = least_speed_after({}),
+              .advice = this->advice_on(job, name)});
     if (found.worker && *found.worker != slow) {
         this->start(job, ordinal, *found.worker, task.attempt + 1, orders, now);
     }
@@ -334,6 +340,7 @@
                   .add("waited_ms", now - job.seen_at)
                   .add("unusable", count(obstacle::unusable))
                   .add("not_allowed", count(obstacle::not_allowed))
+                  .add("no_ticket", count(obstacle::no_ticket))
                   .add("no_processors", count(obstacle::processors))
                   .add("no_memory", count(obstacle::memory))
                   .add("no_accelerators", count(obstacle::accelerators))
@@ -388,6 +395,7 @@
                   .add("report_age_ms", now - worker.heard_at)
                   .add("checkpoint", task.checkpoint)
                   .add("waited_ms", now - job.seen_at));
+    auto const* const advice = this->advice_on(job, name);
     orders.emplace_back(start_order{
         .worker = worker.info.id,
         .address = worker.info.address,
@@ -396,7 +404,8 @@
         .lease_until_ms = lease_until,
         .token = this->options.token,
         .checkpoint =
-            job.spec.steps[name.step].has_checkpoints ? task.checkpoint : ""});
+            job.spec.steps[name.step].has_checkpoints ? task.checkpoint : "",
+        .ticket = advice == nullptr ? "" : advice->verdicts.at(index).ticket});
 }
 
 } // namespace foxtaillift::jobs
--- a/libs/jobs/src/scheduler_relocation.cpp
+++ b/libs/jobs/src/scheduler_relocation.cpp
@@ -81,7 +81,8 @@
             *job, {.wanted = &job->spec.steps[run.task.step],
                    .own_runs = own_runs,
                    .avoided = index,
-                   .least_speed = speed_worth_moving});
+                   .least_speed = speed_worth_moving,
+                   .advice = this->advice_on(*job, run.task)});
         if (!found.worker || *found.worker == index) {
             continue;
         }
--- a/libs/jobs/src/scheduler_reports.cpp
+++ b/libs/jobs/src/scheduler_reports.cpp
@@ -496,6 +496,10 @@
     auto& task = job->tasks[ordinal];
     this->close_run(*job, ordinal, index, run.attempt);
     task.not_before = now + refused_gap;
+    if (status == order_status::no_ticket) {
+        job->steps[job->step_slot(run.task)].advice.verdicts.erase(index);
+        return; // the adviser is asked again
+    }
     task.avoided_worker = index;
     this->workers[index].look_due = now;
 }
--- a/libs/jobs/src/scheduler_search.cpp
+++ b/libs/jobs/src/scheduler_search.cpp
@@ -68,6 +68,7 @@
 
 void scheduler::implementation::find_vacancies(base::instant now)
 {
+    this->searched_at = now;
     for (auto& [service, list] : this->vacancies) {
         list.clear();
     }
@@ -130,6 +131,13 @@
             continue;
         }
         auto const w = choice.worker;
+        if (search.advice != nullptr &&
+            !has_ticket(
+                *search.advice, w, this->workers[w].born_ms,
+                this->searched_at)) {
+            best.obstacles.add(obstacle::no_ticket);
+            continue;
+        }
         this->next_candidate = position + 1;
         auto const mine = search.own_runs.find(w);
         placement_wish wish{
--- a/libs/jobs/src/worker.cpp
+++ b/libs/jobs/src/worker.cpp
@@ -35,6 +35,8 @@
         return "late";
     case order_status::no_room:
         return "no_room";
+    case order_status::no_ticket:
+        return "no_ticket";
     case order_status::invalid:
         return "invalid";
     case order_status::not_run:
--- a/libs/jobs/tests/simulated_world.cpp
+++ b/libs/jobs/tests/simulated_world.cpp
@@ -307,6 +307,13 @@
     this->reply([=] { callback(order_status::done); });
 }
 
+void simulated_ports::advise(
+    advice_order const&,
+    std::function<void(std::optional<advice>)> const& callback)
+{
+    this->reply([=] { callback(std::nullopt); });
+}
+
 void simulated_ports::ask(
     std::string const& address,
     peer_request const& request,
--- a/libs/jobs/tests/simulated_world.hpp
+++ b/libs/jobs/tests/simulated_world.hpp
@@ -121,6 +121,10 @@
     void pace(
         pace_order const& order,
         std::function<void(order_status)> const& callback);
+    /// The queues of this world have no adviser.
+    void advise(
+        advice_order const& order,
+        std::function<void(std::optional<advice>)> const& callback);
     void
     ask(std::string const& address,
         peer_request const& request,
