Show jobs, runs and waits of the job service to operators

Cause: the job service told operators nothing but its log; whoever wanted to know why a job waits had to read the lines of the leader.

Entry hosts answer reads of status, jobs and workers on their internal port, a host that does not lead names the leader, and foxtailctl follows. A job's last wait is kept with what kept each worker from its task. foxtailctl speaks plain HTTP where no operator key is given, since these ports are not reachable from outside.

Ruled out: asking the leader through a peer message. It would copy up to 200 KB through a host with a tenth of a core.

--- a/libs/client/include/foxtaillift/client/connection.hpp
+++ b/libs/client/include/foxtaillift/client/connection.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "foxtaillift/base/clock.hpp"
+#include "foxtaillift/transport/exchange.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -14,7 +15,9 @@
 struct connection_options
 {
     std::vector<std::string> addresses; ///< tried in order
-    std::string key;                    ///< hexadecimal pre-shared key
+    /// Hexadecimal pre-shared key; empty: without TLS, as entry hosts of the
+    /// job service answer.
+    std::string key;
     base::duration timeout = base::seconds(10);
 };
 
@@ -40,10 +43,17 @@
 
     /// \throws base::error (unavailable) if no host answers.
     answer get(std::string const& path) const;
+    /// The same, from the leader if the host names one.
+    answer get_from_leader(std::string const& path) const;
     answer post(std::string const& path, nlohmann::json const& body) const;
     answer remove(std::string const& path) const;
 
 private:
+    transport::exchange_result exchange(
+        std::string const& address,
+        std::string const& method,
+        std::string const& path,
+        std::string const& body) const;
     answer send(
         std::string const& method,
         std::string const& path,
--- a/libs/client/src/command_line.cpp
+++ b/libs/client/src/command_line.cpp
@@ -98,6 +98,21 @@
     });
 }
 
+void add_job_verbs(CLI::App& app, arguments& values)
+{
+    auto* const group =
+        add_group(app, "job", "Jobs of dependent steps (the job service)");
+    on_chosen(
+        group->add_subcommand("list", "Jobs that are not over"), values,
+        list_jobs);
+    auto* const show = group->add_subcommand(
+        "show", "Steps and runs of a job, and why its next task waits");
+    show->add_option("ID", values.name, "Identifier of the job")->required();
+    on_chosen(show, values, [&values](auto const& use) {
+        return show_job(use, values.name);
+    });
+}
+
 /// drain, quarantine and release are overrides of `worker.state`.
 void add_worker_order(
     CLI::App* group,
@@ -260,6 +275,7 @@
         app.add_subcommand("quota", "Teams with their quota and use"), values,
         list_teams);
     add_task_verbs(app, values);
+    add_job_verbs(app, values);
     add_worker_verbs(app, values);
     add_config_verbs(app, values);
     add_override_verbs(app, values);
--- a/libs/client/src/connection.cpp
+++ b/libs/client/src/connection.cpp
@@ -1,11 +1,14 @@
 #include "foxtaillift/client/connection.hpp"
 
 #include "foxtaillift/base/error.hpp"
+#include "foxtaillift/transport/http_client_pool.hpp"
 #include "foxtaillift/transport/operator_client.hpp"
 
 #include <boost/algorithm/hex.hpp>
+#include <boost/asio/io_context.hpp>
 
 #include <iterator>
+#include <optional>
 #include <utility>
 
 namespace foxtaillift::client
@@ -27,6 +30,25 @@
     return bytes;
 }
 
+/// Entry hosts that only the deployment's own hosts can reach ask for no key.
+transport::exchange_result send_plain(
+    std::string const& address,
+    transport::request message,
+    base::duration limit)
+{
+    boost::asio::io_context io;
+    transport::http_client_pool pool{io, {}};
+    std::optional<transport::exchange_result> result;
+    pool.send(
+        address, std::move(message), limit,
+        [&](transport::exchange_result received) {
+            result = std::move(received);
+            io.stop();
+        });
+    io.run();
+    return std::move(*result);
+}
+
 } // namespace
 
 connection::connection(connection_options given)
@@ -56,6 +78,40 @@
     return this->send("DELETE", path, {});
 }
 
+transport::exchange_result connection::exchange(
+    std::string const& address,
+    std::string const& method,
+    std::string const& path,
+    std::string const& body) const
+{
+    transport::request message{
+        .method = method, .target = path, .headers = {}, .body = body};
+    if (this->options.key.empty()) {
+        return send_plain(address, std::move(message), this->options.timeout);
+    }
+    transport::operator_client const client{
+        {.address = address,
+         .key = this->options.key,
+         .timeout = this->options.timeout}};
+    return client.send(message);
+}
+
+answer connection::get_from_leader(std::string const& path) const
+{
+    auto received = this->get(path);
+    constexpr int misdirected = 421;
+    if (received.status != misdirected || !received.body.is_object()) {
+        return received;
+    }
+    auto const leader = received.body.value("leader", std::string{});
+    if (leader.empty()) {
+        return received;
+    }
+    auto redirected = *this;
+    redirected.options.addresses = {leader};
+    return redirected.get(path);
+}
+
 answer connection::send(
     std::string const& method,
     std::string const& path,
@@ -63,12 +119,7 @@
 {
     std::string reasons;
     for (auto const& address : this->options.addresses) {
-        transport::operator_client const client{
-            {.address = address,
-             .key = this->options.key,
-             .timeout = this->options.timeout}};
-        auto result = client.send(
-            {.method = method, .target = path, .headers = {}, .body = body});
+        auto result = this->exchange(address, method, path, body);
         if (result.outcome == transport::delivery::answered) {
             return {
                 result.answer.status,
--- a/libs/client/src/queries.cpp
+++ b/libs/client/src/queries.cpp
@@ -102,7 +102,8 @@
         column{"RUNS", "runs"},           column{"PRESSURE", "pressure"},
         column{"CAPACITY", "capacity"},   column{"COMMITTED", "committed"},
         column{"REASON", "reason"}};
-    return print_rows(use, use.link.get("/v1/workers"), "workers", columns);
+    return print_rows(
+        use, use.link.get_from_leader("/v1/workers"), "workers", columns);
 }
 
 exit_code list_teams(session const& use)
@@ -129,6 +130,56 @@
     return print_rows(use, use.link.get(path), "tasks", columns);
 }
 
+exit_code list_jobs(session const& use)
+{
+    constexpr std::array columns{
+        column{"JOB", "job"},
+        column{"QUEUE", "queue"},
+        column{"STATE", "state"},
+        column{"AGE MS", "age_ms"},
+        column{"OBJECTIVE MS", "objective_ms"},
+        column{"TASKS", "tasks"},
+        column{"DONE", "done"},
+        column{"RUNS", "runs"},
+        column{"WAITING", "waiting"}};
+    return print_rows(
+        use, use.link.get_from_leader("/v1/jobs"), "jobs", columns);
+}
+
+exit_code show_job(session const& use, std::string const& id)
+{
+    auto const received = use.link.get_from_leader("/v1/jobs/" + id);
+    if (!received.is_done() || use.format == output_format::json) {
+        return print_rows(use, received, "steps", {});
+    }
+    constexpr std::array summary{
+        column{"JOB", "job"},       column{"QUEUE", "queue"},
+        column{"STATE", "state"},   column{"RECORDED", "recorded_state"},
+        column{"AGE MS", "age_ms"}, column{"OBJECTIVE MS", "objective_ms"}};
+    use.out << make_table(json::array({received.body}), summary);
+    constexpr std::array steps{
+        column{"OCCURRENCE", "occurrence"},
+        column{"STEP", "step"},
+        column{"TASKS", "tasks"},
+        column{"DONE", "done"},
+        column{"IDLE", "idle"},
+        column{"MAY START", "may_start"}};
+    use.out << "\n"
+            << make_table(received.body.value("steps", json::array()), steps);
+    constexpr std::array runs{
+        column{"TASK", "task"},       column{"ATTEMPT", "attempt"},
+        column{"WORKER", "worker"},   column{"PHASE", "phase"},
+        column{"PERCENT", "percent"}, column{"PACE", "pace"},
+        column{"AGE MS", "age_ms"}};
+    use.out << "\n"
+            << make_table(received.body.value("present", json::array()), runs);
+    if (received.body.contains("last_wait")) {
+        use.out << "\nlast wait, by what kept workers from the task: "
+                << received.body["last_wait"].dump() << "\n";
+    }
+    return exit_code::done;
+}
+
 exit_code show_task(session const& use, std::string const& name)
 {
     auto const received = use.link.get("/v1/tasks/" + name);
--- a/libs/client/src/queries.hpp
+++ b/libs/client/src/queries.hpp
@@ -13,6 +13,10 @@
 exit_code list_teams(session const& use);
 exit_code list_tasks(
     session const& use, std::string const& team, std::string const& state);
+/// Jobs of the job service that are not over.
+exit_code list_jobs(session const& use);
+/// Steps and runs of a job, and why its next task waits.
+exit_code show_job(session const& use, std::string const& id);
 exit_code show_task(session const& use, std::string const& name);
 exit_code explain_task(session const& use, std::string const& name);
 exit_code explain_call(session const& use, std::string const& call);
--- a/libs/client/tests/command_line_test.cpp
+++ b/libs/client/tests/command_line_test.cpp
@@ -48,7 +48,7 @@
     auto const help = run({"--help"});
     CHECK(help.code == client::exit_code::done);
     for (auto const* const group :
-         {"status", "quota", "task", "worker", "config", "override",
+         {"status", "quota", "task", "job", "worker", "config", "override",
           "explain"}) {
         CHECK(help.out.find(group) != std::string::npos);
     }
--- a/libs/jobs/include/foxtaillift/jobs/coordinator.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/coordinator.hpp
@@ -12,6 +12,7 @@
 #include "foxtaillift/jobs/peer_message.hpp"
 #include "foxtaillift/jobs/progress.hpp"
 #include "foxtaillift/jobs/rows.hpp"
+#include "foxtaillift/jobs/views.hpp"
 
 #include <algorithm>
 #include <cstddef>
@@ -29,6 +30,7 @@
 struct coordinator_options
 {
     std::string host{};
+    std::string failure_domain{};
     std::string peer_address{}; ///< where peers reach this process
     std::string nonce{};        ///< unique for this process
     election_options electing{};
@@ -264,6 +266,28 @@
     }
 
     [[nodiscard]] bool is_leading() const { return this->led != nullptr; }
+
+    /// Answers a read of an operator below `/v1/`. A host that does not lead
+    /// names the leader (status 421), which knows the jobs and workers.
+    [[nodiscard]] operator_answer
+    answer_operator(std::string_view path, bool is_ready) const
+    {
+        auto const now = this->ports.now();
+        bool const has_leader = this->led || this->has_peer_leader();
+        host_view const view{
+            .host = this->options.host,
+            .failure_domain = this->options.failure_domain,
+            .is_ready = is_ready,
+            .is_leading = this->led != nullptr,
+            .configuration = this->configuration.version,
+            .token = this->led    ? this->led->rows().current.token
+                     : has_leader ? this->voting.known()->current.token
+                                  : 0,
+            .leader_address =
+                this->led ? this->options.peer_address
+                          : (has_leader ? this->voting.leader_address() : "")};
+        return answer_operator_read(path, view, this->decisions(), now);
+    }
     [[nodiscard]] scheduler const* decisions() const
     {
         return this->led ? &this->led->state() : nullptr;
--- a/libs/jobs/include/foxtaillift/jobs/scheduler.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/scheduler.hpp
@@ -197,8 +197,11 @@
     [[nodiscard]] fleet_load load(base::instant now) const;
     [[nodiscard]] std::size_t job_count() const;
 
-private:
     class implementation;
+    /// For views.hpp.
+    [[nodiscard]] implementation const& inside() const { return *this->impl; }
+
+private:
     std::unique_ptr<implementation> impl;
 };
 
--- a/libs/jobs/src/job_table.hpp
+++ b/libs/jobs/src/job_table.hpp
@@ -1,6 +1,8 @@
 /// The jobs that a leader knows, with the state of each task.
 #pragma once
 
+#include "obstacle.hpp"
+
 #include "foxtaillift/base/clock.hpp"
 #include "foxtaillift/jobs/interference.hpp"
 #include "foxtaillift/jobs/job.hpp"
@@ -83,6 +85,14 @@
     step_advice advice{};      ///< where the queue has an adviser
 };
 
+/// Why a task last got no worker.
+struct waiting_task
+{
+    task_name task{};
+    base::instant seen_at{};
+    obstacle_counts obstacles{}; ///< of the workers that were looked at
+};
+
 struct job_entry
 {
     job_spec spec{};
@@ -97,6 +107,7 @@
     std::size_t open_runs = 0;
     std::size_t idle = 0;
     base::instant wait_logged_at{-1'000'000};
+    std::optional<waiting_task> last_wait{};
     base::duration chain{};                     ///< longest chain of estimates
     std::vector<base::duration> chain_before{}; ///< by step, without it
     std::vector<base::duration> chain_after{};  ///< by step, without it
--- a/libs/jobs/src/placement.cpp
+++ b/libs/jobs/src/placement.cpp
@@ -142,39 +142,6 @@
             .bearable_pace(wish.image, share_of(worker, wanted)));
 }
 
-std::string_view to_string(obstacle why)
-{
-    switch (why) {
-    case obstacle::none:
-        return "none";
-    case obstacle::unusable:
-        return "unusable";
-    case obstacle::not_allowed:
-        return "not_allowed";
-    case obstacle::no_ticket:
-        return "no_ticket";
-    case obstacle::processors:
-        return "processors";
-    case obstacle::memory:
-        return "memory";
-    case obstacle::accelerators:
-        return "accelerators";
-    case obstacle::speed:
-        return "speed";
-    }
-    return "none";
-}
-
-void obstacle_counts::add(obstacle why, std::size_t workers)
-{
-    this->counts[static_cast<std::size_t>(why)] += workers;
-}
-
-std::size_t obstacle_counts::of(obstacle why) const
-{
-    return this->counts[static_cast<std::size_t>(why)];
-}
-
 obstacle find_obstacle(worker_entry const& worker, placement_wish const& wish)
 {
     return is_allowed(worker, wish) ? missing_room(worker, *wish.wanted)
--- a/libs/jobs/src/placement.hpp
+++ b/libs/jobs/src/placement.hpp
@@ -1,11 +1,11 @@
 /// How well a worker suits a task.
 #pragma once
 
+#include "obstacle.hpp"
 #include "worker_table.hpp"
 
 #include "foxtaillift/jobs/job.hpp"
 
-#include <array>
 #include <cstddef>
 #include <string_view>
 
@@ -40,21 +40,6 @@
     interference_model const& model,
     placement_wish const& wish);
 
-/// Why a worker does not get a task.
-enum class obstacle
-{
-    none,
-    unusable,     ///< silent, draining, barred, of another service
-    not_allowed,  ///< by a label or a limit of tasks on one worker
-    no_ticket,    ///< by the queue's adviser, or it was not asked yet
-    processors,   ///< too few are free
-    memory,       ///< too little is free
-    accelerators, ///< too few are free
-    speed,        ///< the task would be too slow there
-};
-
-std::string_view to_string(obstacle why);
-
 /// How well a worker suits a task.
 struct placement_verdict
 {
@@ -72,17 +57,4 @@
     interference_model const& model,
     placement_wish const& wish);
 
-/// Workers of a search, by what kept them from getting the task.
-class obstacle_counts
-{
-public:
-    void add(obstacle why, std::size_t workers = 1);
-    [[nodiscard]] std::size_t of(obstacle why) const;
-
-private:
-    static constexpr std::size_t kinds =
-        static_cast<std::size_t>(obstacle::speed) + 1;
-    std::array<std::size_t, kinds> counts{};
-};
-
 } // namespace foxtaillift::jobs
--- a/libs/jobs/src/scheduler_placing.cpp
+++ b/libs/jobs/src/scheduler_placing.cpp
@@ -325,6 +325,7 @@
     candidate const& found,
     base::instant now)
 {
+    job.last_wait = {task, now, found.obstacles};
     if (now - this->wait_lines_since >= wait_lines_period) {
         this->wait_lines_since = now;
         this->wait_lines_left = wait_lines_limit;
