--- a/libs/jobs/benchmarks/busy_fleet_benchmark.cpp
+++ b/libs/jobs/benchmarks/busy_fleet_benchmark.cpp
@@ -95,9 +95,12 @@
         while (this->now < end) {
             this->now += tick;
             for (auto const& load : loads) {
-                double const chance =
+                double due =
                     load.jobs_per_s * static_cast<double>(tick.ms) / 1000;
-                if (base::uniform_unit(this->random) < chance) {
+                for (; due >= 1; --due) {
+                    this->submit(load);
+                }
+                if (base::uniform_unit(this->random) < due) {
                     this->submit(load);
                 }
             }
@@ -342,19 +345,19 @@
     std::map<std::string, kind_of_job> kinds{};
 };
 
-} // namespace
-
-int main()
+/// The load of the grown Directorate, in proportion to the workers.
+void measure(std::size_t workers)
 {
-    constexpr std::size_t workers = 490;
+    constexpr double grown_workers = 490;
+    double const factor = static_cast<double>(workers) / grown_workers;
     std::vector<workload> const loads{
         {.name = "short",
-         .jobs_per_s = 15,
+         .jobs_per_s = 15 * factor,
          .tasks = 8,
          .run_ms = 540,
          .need = {.processors = 2800, .memory_mb = 3000}},
         {.name = "filling",
-         .jobs_per_s = 24,
+         .jobs_per_s = 24 * factor,
          .tasks = 20,
          .run_ms = 1900,
          .need = {.processors = 1800, .memory_mb = 3000},
@@ -368,10 +371,19 @@
     fleet.run_for(base::seconds(seconds), loads);
     constexpr double ms = 1000;
     std::printf(
-        "%zu workers, %.0f starts/s, %.0f reports/s; processor time by second: "
-        "decisions %.1f ms, reports %.1f ms, records %.1f ms\n",
+        "%5zu workers, %4.0f starts/s, %4.0f reports/s; processor time by "
+        "second: decisions %.1f ms, reports %.1f ms, records %.1f ms\n",
         workers, static_cast<double>(fleet.starts) / seconds,
         static_cast<double>(fleet.reports) / seconds,
         fleet.deciding * ms / seconds, fleet.reporting * ms / seconds,
         fleet.committing * ms / seconds);
 }
+
+} // namespace
+
+int main()
+{
+    for (std::size_t const workers : {66, 490, 2000}) {
+        measure(workers);
+    }
+}
--- a/libs/jobs/src/scheduler_advice.cpp
+++ b/libs/jobs/src/scheduler_advice.cpp
@@ -96,6 +96,7 @@
         choices.begin(), choices.begin() + static_cast<std::ptrdiff_t>(count),
         choices.end());
     std::vector<std::string> ids;
+    ids.reserve(count);
     for (std::size_t i = 0; i < count; ++i) {
         ids.push_back(std::move(choices[i].second));
     }
