Count a tail near its target as over it until it is clearly below

Whatever the model says, all filling work beside a task stops once its reports are over the target for 2 s on end; but reports are rough by a twentieth, and one that came down to the target began the 2 s anew. Besides, 2 s left nothing of the 4 s that callers bear: a report comes up to 1 s late, paces take 0.15 s, and a tail of five times the target needs 0.9 s to fall.

A stretch now ends at 92% of the target, and the stop comes after 1.5 s.

Test: a tail that comes down to its target at times; it fails without the change.

--- a/libs/jobs/src/scheduler_pacing.cpp
+++ b/libs/jobs/src/scheduler_pacing.cpp
@@ -20,9 +20,15 @@
 /// 100 ms.
 constexpr base::duration pace_period = base::milliseconds(600);
 
-/// Callers bear a serving task over its target for 4 s on end; a third of that
-/// passes until paces show in the reports.
-constexpr base::duration longest_exceeding = base::milliseconds(2000);
+/// Callers bear a serving task over its target for 4 s on end. Up to 1 s passes
+/// until a report shows it, 0.15 s until paces take effect, and 0.9 s until a
+/// tail of five times the target has fallen (time constant 0.55 s); the rest is
+/// kept for a late look.
+constexpr base::duration longest_exceeding = base::milliseconds(1500);
+
+/// Reported tails are rough by a twentieth. Above this part of the target a
+/// task that was over it may still be.
+constexpr double certainly_met = 0.92;
 
 /// A worker is slow if all its serving tasks have less than this part of the
 /// margin that is expected of them; at least so many, with such a margin.
@@ -162,14 +168,14 @@
                 this->interference, *reading.headroom, reading.taken->image,
                 reading.tail_over_target, uses, now);
         }
-        auto since = now;
         if (reading.tail_over_target > 1) {
-            since =
-                worker.exceeding_since.emplace(*reading.run, now).first->second;
-        } else {
+            worker.exceeding_since.emplace(*reading.run, now);
+        } else if (reading.tail_over_target < certainly_met) {
             worker.exceeding_since.erase(*reading.run);
         }
-        bool const may_exceed = now - since < longest_exceeding;
+        auto const exceeding = worker.exceeding_since.find(*reading.run);
+        bool const may_exceed = exceeding == worker.exceeding_since.end() ||
+                                now - exceeding->second < longest_exceeding;
         // Whatever the model says, a task over its target for long gets rid of
         // everything that may disturb it.
         double const headroom =
--- a/libs/jobs/tests/relocation_test.cpp
+++ b/libs/jobs/tests/relocation_test.cpp
@@ -1,10 +1,13 @@
 #include "scheduler_fixture.hpp"
 
+#include "foxtaillift/jobs/interference.hpp"
+
 #include <doctest/doctest.h>
 
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace base = foxtaillift::base;
 using namespace foxtaillift::jobs;
@@ -64,6 +67,26 @@
         return stopped;
     }
 
+    /// Reports one tail of the service every half second; returns the pace of
+    /// the filling task then.
+    int pace_after(std::vector<std::int64_t> const& tails)
+    {
+        constexpr std::int64_t period_ms = 500;
+        for (auto const tail_ms : tails) {
+            this->wait(period_ms);
+            auto report = this->report();
+            report.running = {
+                {.run = this->service, .percent = 100, .recent = tail_ms},
+                {.run = this->filling, .percent = 50, .recent = 2000}};
+            this->answer("a", report);
+            for (auto const& order : this->take<pace_order>()) {
+                this->pace = order.percent;
+                this->decisions.on_pace("a", order.run, order_status::done);
+            }
+        }
+        return this->pace;
+    }
+
     void list_second()
     {
         this->list("b", 16'000);
@@ -87,6 +110,7 @@
     }
 
     bool is_second_listed = false;
+    int pace = 100; ///< percent
 };
 
 step filling_step(bool has_checkpoints)
@@ -100,6 +124,29 @@
         .image = "f"};
 }
 
+/// What a model has learned of a filling image that disturbs no service.
+std::string learned_harmless()
+{
+    interference_model model;
+    auto const serving = model.number_of("s");
+    auto const filling = model.number_of("f");
+    std::vector<image_use> const none;
+    std::vector<image_use> const some{{filling, 0.3}};
+    constexpr std::int64_t gap_ms = 5000;
+    for (std::int64_t i = 0; i < 200; ++i) {
+        base::instant const at{i * gap_ms};
+        margin_report const before{
+            .margin = 2.6, .variance = 0.05, .uses = none, .at = at};
+        model.learn(
+            serving, &before,
+            {.margin = 2.6,
+             .variance = 0.05,
+             .uses = some,
+             .at = at + base::milliseconds(500)});
+    }
+    return model.encode();
+}
+
 constexpr std::int64_t crest_ms = 5000;
 constexpr int half_done = 50;
 
@@ -153,3 +200,20 @@
     constexpr int little = 5;
     CHECK(barely_begun.report_for(crest_ms, disturbed_tail_ms, little));
 }
+
+// The pattern: a service at its crest whose reported tail, rough by a
+// twentieth, comes down to the target at times (quiet-1 of the Directorate,
+// seed 742713109908: over its target for 4 s on end). Guards against filling
+// work that goes on beside it since each such report seems to end the stretch.
+TEST_CASE("a tail near its target does not end a stretch above it")
+{
+    constexpr std::int64_t above_ms = 13;
+    shared_worker_fixture test{filling_step(false)};
+    test.decisions.take_learned(learned_harmless());
+    CHECK(test.pace_after({calm_tail_ms, calm_tail_ms}) == 100);
+    CHECK(
+        test.pace_after(
+            {above_ms, above_ms, target_ms, above_ms, above_ms, target_ms,
+             above_ms}) == 0);
+    CHECK(test.pace_after({calm_tail_ms}) == 100);
+}
