--- a/libs/jobs/include/foxtaillift/jobs/row_follower.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/row_follower.hpp
@@ -22,6 +22,9 @@
     /// How long the store holds a request for changes. It bounds how long a
     /// connection that has gone silent stays unnoticed.
     base::duration wait = base::milliseconds(1500);
+    /// Before changes are asked for again after some have come. Each call has a
+    /// price, so rows that change often are followed with a pause.
+    base::duration pause{};
     base::duration retry = base::milliseconds(200);
     base::duration longest_retry = base::milliseconds(1000);
 };
@@ -153,7 +156,12 @@
             this->report(row);
         }
         this->version = std::max(this->version, result.version);
-        this->watch();
+        if (result.rows.empty() || this->options.pause.ms <= 0) {
+            this->watch();
+            return;
+        }
+        auto self = this->shared_from_this();
+        this->ports.after(this->options.pause, [self] { self->watch(); });
     }
 
     void report(row const& row)
--- /dev/null
+++ b/libs/jobs/tests/row_follower_test.cpp
@@ -0,0 +1,145 @@
+#include "foxtaillift/jobs/row_follower.hpp"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <queue>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace base = foxtaillift::base;
+using namespace foxtaillift::jobs;
+
+namespace
+{
+
+/// A table whose rows change at a steady rate, on virtual time.
+class busy_table
+{
+public:
+    explicit busy_table(base::duration between_changes)
+        : interval(between_changes)
+    {}
+
+    [[nodiscard]] base::instant now() const { return this->time; }
+
+    void after(base::duration delay, std::function<void()> callback)
+    {
+        this->events.push({this->time + delay, this->count++, callback});
+    }
+
+    void read(
+        std::string const&,
+        std::string const&,
+        std::string const&,
+        std::function<void(rows_result)> const& callback)
+    {
+        this->after(latency, [this, callback] {
+            callback(
+                {.status = store_status::done, .version = this->version()});
+        });
+    }
+
+    void watch(
+        std::string const&,
+        std::int64_t since,
+        base::duration wait,
+        std::function<void(rows_result)> const& callback)
+    {
+        ++this->watches;
+        auto const next = base::instant{(since + 1) * this->interval.ms};
+        auto const answer_at =
+            std::min(this->time + wait, std::max(this->time, next) + latency);
+        this->after(answer_at - this->time, [this, since, callback] {
+            rows_result result{
+                .status = store_status::done, .version = this->version()};
+            for (auto each = since + 1; each <= result.version; ++each) {
+                result.rows.push_back(
+                    {.table = "servers",
+                     .key = std::to_string(each % 10),
+                     .version = each});
+            }
+            callback(result);
+        });
+    }
+
+    void run_for(base::duration span)
+    {
+        auto const end = this->time + span;
+        while (!this->events.empty() && this->events.top().time <= end) {
+            auto const event = this->events.top();
+            this->events.pop();
+            this->time = event.time;
+            event.callback();
+        }
+        this->time = end;
+    }
+
+    [[nodiscard]] std::int64_t version() const
+    {
+        return this->time.ms / this->interval.ms;
+    }
+
+    int watches = 0;
+
+private:
+    static constexpr base::duration latency = base::milliseconds(4);
+
+    struct entry
+    {
+        base::instant time{};
+        int number = 0;
+        std::function<void()> callback{};
+        bool operator<(entry const& other) const
+        {
+            return std::pair{other.time, other.number} <
+                   std::pair{this->time, this->number};
+        }
+    };
+    std::priority_queue<entry> events{};
+    int count = 0;
+    base::instant time{1000};
+    base::duration interval;
+};
+
+} // namespace
+
+// The rows of 350 workers change some 200 times a second. Without a pause each
+// change costs a priced call to the store.
+TEST_CASE("a follower with a pause gathers frequent changes")
+{
+    busy_table table{base::milliseconds(5)};
+    std::int64_t newest = 0;
+    auto const follower = std::make_shared<row_follower<busy_table>>(
+        table,
+        row_follower_options{
+            .table = "servers", .pause = base::milliseconds(300)},
+        [&](row const& row) { newest = row.version; });
+    follower->start();
+    table.run_for(base::seconds(10));
+    CHECK(table.watches <= 34); // 10 s by 300 ms
+    CHECK(table.watches >= 25);
+    // Nothing is missed: the last change is at most a pause old.
+    CHECK(table.version() - newest <= (300 + 2 * 4) / 5 + 1);
+    follower->stop();
+    table.run_for(base::seconds(2));
+}
+
+TEST_CASE("a follower without a pause hears of each change at once")
+{
+    busy_table table{base::milliseconds(100)};
+    std::int64_t newest = 0;
+    auto const follower = std::make_shared<row_follower<busy_table>>(
+        table, row_follower_options{.table = "jobs"},
+        [&](row const& row) { newest = row.version; });
+    follower->start();
+    table.run_for(base::seconds(5));
+    CHECK(table.version() - newest <= 1);
+    CHECK(table.watches >= 48);
+    follower->stop();
+    table.run_for(base::seconds(2));
+}
