Start nothing beside runs of unknown size, keep rows of inherited jobs

A run of unknown size took the capacity of its worker, which was 0 as the platform did not list the worker any more (its entry had lapsed in the outage). Once listed, the worker counted as empty.

Now nothing starts beside such a run, an inherited job keeps its rows until all workers have reported, and runs of a job that is over are stopped at once instead of after 2 s.

Ruled out: the pause itself; entries that lapse in an outage came back late before it too.

--- a/libs/jobs/src/scheduler_core.hpp
+++ b/libs/jobs/src/scheduler_core.hpp
@@ -186,6 +186,8 @@
     task_place find_task(task_name const& task);
     run_entry* find_run(std::size_t worker, run_name const& run);
     void mark_dirty(job_entry& job);
+    /// The rows of the job can go, but for its state.
+    [[nodiscard]] bool is_removable(job_entry const& job) const;
     void open_run(
         job_entry& job, std::size_t ordinal, run_entry run, base::instant now);
     /// Forgets a run that is certainly not present any more.
--- a/libs/jobs/src/scheduler_jobs.cpp
+++ b/libs/jobs/src/scheduler_jobs.cpp
@@ -138,7 +138,7 @@
             this->stop_run(orphan.worker, orphan.run);
             continue;
         }
-        this->workers[orphan.worker].release(orphan.run); // the guessed size
+        this->workers[orphan.worker].release(orphan.run); // without a size
         this->open_run(
             job, *ordinal,
             {.worker = orphan.worker,
@@ -300,6 +300,13 @@
     }
 }
 
+bool scheduler::implementation::is_removable(job_entry const& job) const
+{
+    // Workers that have not reported yet may have runs of an inherited job.
+    return is_final(job.state) && job.open_runs == 0 &&
+           (this->is_recovered || !job.is_inherited);
+}
+
 commit_batch scheduler::implementation::take_commit(std::size_t row_limit)
 {
     commit_batch batch;
@@ -313,7 +320,7 @@
         if (job == nullptr) {
             continue;
         }
-        bool const is_removal = is_final(job->state) && job->open_runs == 0;
+        bool const is_removal = this->is_removable(*job);
         rows += is_removal ? commit_batch::rows_of_removal : 1;
         if (rows > row_limit && !batch.items.empty()) {
             break; // but one job is always written
--- a/libs/jobs/src/scheduler_orders.cpp
+++ b/libs/jobs/src/scheduler_orders.cpp
@@ -77,6 +77,11 @@
         return false;
     }
     this->is_recovered = true;
+    for (auto& [id, job] : this->jobs) {
+        if (this->is_removable(*job)) {
+            this->mark_dirty(*job);
+        }
+    }
     this->log(base::event_line{"recovered"}
                   .add("after_ms", now - *this->recovery_began)
                   .add("unheard_workers", missing)
--- a/libs/jobs/src/scheduler_reports.cpp
+++ b/libs/jobs/src/scheduler_reports.cpp
@@ -354,9 +354,11 @@
                       .add("job_known", static_cast<bool>(place)));
     }
     if (!place) {
-        // Its size is unknown, so nothing else starts there meanwhile. The row
-        // of its job may still come; without it the run is stopped.
-        worker.occupy(reported.run, {.need = worker.info.capacity});
+        // The row of its job may still come; without it the run is stopped.
+        worker.occupy(reported.run, {.is_unsized = true});
+        if (this->ended.contains(reported.run.task.job)) {
+            this->stop_run(index, reported.run);
+        }
         auto& known = this->orphans[reported.run.task.job];
         auto const found = std::find_if(
             known.begin(), known.end(), [&](orphan_run const& each) {
--- a/libs/jobs/src/scheduler_search.cpp
+++ b/libs/jobs/src/scheduler_search.cpp
@@ -45,8 +45,8 @@
     return worker.is_heard && !worker.is_gone && !worker.is_closed &&
            !worker.info.is_draining &&
            (worker.is_listed || now - worker.unlisted_at < unlisted_grace) &&
-           worker.silent_looks == 0 && now >= worker.barred_until &&
-           now - worker.heard_at < fresh_report;
+           worker.silent_looks == 0 && worker.unsized_runs == 0 &&
+           now >= worker.barred_until && now - worker.heard_at < fresh_report;
 }
 
 double scheduler::implementation::lost_versatility(
--- a/libs/jobs/src/scheduler_silence.cpp
+++ b/libs/jobs/src/scheduler_silence.cpp
@@ -104,8 +104,7 @@
                                  on_slow_clock(this->options.longest_lease) +
                                  lapse_margin;
         for (auto const& run : each.runs) {
-            // Its size is known once its job is.
-            worker.occupy(run, {.need = worker.info.capacity});
+            worker.occupy(run, {.is_unsized = true});
             this->orphans[run.task.job].push_back(
                 {.worker = *index, .run = run, .seen_at = now, .percent = -1});
         }
--- a/libs/jobs/src/worker_table.cpp
+++ b/libs/jobs/src/worker_table.cpp
@@ -16,6 +16,7 @@
         this->is_pace_due = true;
     }
     this->used += counted;
+    this->unsized_runs += taken.is_unsized ? 1 : 0;
     if (taken.is_serving) {
         this->serving_processors += taken.need.processors;
         this->serving_by_image[taken.image] += taken.need.processors;
@@ -49,6 +50,7 @@
         this->filling_processors -= taken.need.processors;
     }
     this->used -= counted;
+    this->unsized_runs -= taken.is_unsized ? 1 : 0;
     if (taken.is_serving) {
         this->serving_processors -= taken.need.processors;
         this->serving_by_image[taken.image] -= taken.need.processors;
--- a/libs/jobs/src/worker_table.hpp
+++ b/libs/jobs/src/worker_table.hpp
@@ -60,6 +60,8 @@
     std::int64_t tail_target_ms = 0;
     image_number image = 0;
     int percent = 100; ///< pace of a filling run, as wanted
+    /// Its job is not known, so it may take any part of the worker.
+    bool is_unsized = false;
 };
 
 struct worker_entry
@@ -126,6 +128,7 @@
     std::int64_t serving_processors = 0;
     std::int64_t filling_processors = 0;
     std::size_t serving_runs = 0;
+    std::size_t unsized_runs = 0; ///< beside them nothing starts
     std::map<image_number, std::int64_t> serving_by_image{}; ///< processors
 
     /// Its position among the vacancies of its service, if it has one.
--- a/libs/jobs/tests/scheduler_test.cpp
+++ b/libs/jobs/tests/scheduler_test.cpp
@@ -256,6 +256,76 @@
     CHECK(test.decisions.running_count() == 1);
 }
 
+// Guards against LIMIT (scale-1 of the grown Rezni Oblak): a job cancelled as a
+// leader took over lost its rows before the workers had reported, so that the
+// sizes of its runs were unknown, and their workers were not listed yet.
+TEST_CASE("beside a run of unknown size nothing starts")
+{
+    fixture test{2, true};
+    test.decisions.recall_worker(
+        {.id = "a", .address = "a", .service = "s"}, test.now);
+    test.take<look_order>();
+    auto report = test.report();
+    report.running.push_back({.run = {{.job = "x"}, 1}, .percent = 10});
+    test.answer("a", report);
+    test.list("a");
+    test.add("j", {.count = 1, .need = {.processors = 1000}});
+    test.wait(100);
+    CHECK(test.take<start_order>().empty());
+    report = test.report();
+    report.ended.push_back(ended(1, {{.job = "x"}, 1}, run_outcome::stopped));
+    test.answer("a", report);
+    for (int i = 0; i < 30; ++i) { // nobody knows the job of the end
+        test.wait(100);
+        report.clock_ms = test.now.ms;
+        test.answer("a", report);
+    }
+    CHECK(test.take<start_order>().size() == 1);
+}
+
+// Guards against the same fault, and against UNASKED: runs of a job without
+// rows are stopped only after the time in which its row might still come.
+TEST_CASE("a cancelled job keeps its rows until all workers have reported")
+{
+    fixture test{2, true};
+    test.list("a");
+    test.list("b");
+    test.add("j", {.count = 1, .need = {.processors = 1000}});
+    test.decisions.begin_recovery(test.now); // the job is inherited
+    test.decisions.cancel_job("j", test.now);
+    test.take<look_order>();
+    test.answer("b", test.report());
+    for (auto const& item : test.decisions.take_commit(50).items) {
+        CHECK_FALSE(item.is_removal);
+        test.decisions.on_committed({.items = {item}});
+    }
+    CHECK(test.decisions.state_of("j") == job_state::cancelled);
+    auto report = test.report();
+    report.running.push_back({.run = {{.job = "j"}, 1}, .percent = 10});
+    test.answer("a", report);
+    test.wait(10);
+    CHECK(test.take<stop_order>().size() == 1);
+    report = test.report();
+    report.ended.push_back(ended(1, {{.job = "j"}, 1}, run_outcome::stopped));
+    test.answer("a", report);
+    auto const batch = test.decisions.take_commit(50);
+    REQUIRE(batch.items.size() == 1);
+    CHECK(batch.items.front().is_removal);
+}
+
+TEST_CASE("a run of a job that is over is stopped at once")
+{
+    fixture test{2, true};
+    test.list("a");
+    test.decisions.add_ended("x", job_state::cancelled);
+    test.take<look_order>();
+    auto report = test.report();
+    report.running.push_back({.run = {{.job = "x"}, 1}, .percent = 10});
+    test.answer("a", report);
+    test.wait(10);
+    CHECK(test.take<stop_order>().size() == 1);
+}
+
 TEST_CASE("runs of jobs that nobody knows are stopped after a while")
 {
     fixture test{2, true};
