Let a leader write again after an outage of the store

With the first read after it a host of 0.12 cores took over from the sound leader of 0.5 cores, since it counted all that time against the beat. The old leader would have lost in any case: its last write of the outage had up to 1 s left before it was repeated.

Now a host takes over only when its reads have succeeded for as long as a leader that answers may stand still (1 s), or, from a leader that does not answer, for its own wait, in which large hosts come first. A leader whose write has failed sends a copy every 250 ms; the condition on its beat lets one succeed.

Ruled out: the capacity of the old leader (40 writes a second before and after).

--- a/libs/jobs/include/foxtaillift/jobs/election.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/election.hpp
@@ -109,6 +109,10 @@
 private:
     [[nodiscard]] bool is_suspect() const;
     [[nodiscard]] base::duration own_wait() const;
+    /// After an outage of the store, in which every beat stands still, a leader
+    /// that answers gets the time to write again, and any host waits for others
+    /// that suit better.
+    [[nodiscard]] bool is_outage_over(base::instant now) const;
     /// How long the beat must have stood still; nothing if the leader may stay.
     [[nodiscard]] std::optional<base::duration> patience() const;
 
@@ -118,6 +122,7 @@
     std::int64_t reported_beat = 0; ///< version, by the leader's last answer
     base::instant reported_at{};    ///< when the leader had sent that beat
     base::instant last_read_at{-1'000'000};
+    base::instant unread_at{-1'000'000}; ///< of the last read that failed
     base::instant last_ping_at{-1'000'000};
     bool is_read_fresh = false; ///< since the last takeover attempt
     int failed_pings = 0;       ///< in a row
--- a/libs/jobs/include/foxtaillift/jobs/leader.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/leader.hpp
@@ -184,6 +184,13 @@
     /// Decisions take at most half of the time.
     static constexpr std::int64_t rest_factor = 1;
     static constexpr base::duration load_retry = base::milliseconds(100);
+    /// Before a write that failed is repeated.
+    static constexpr base::duration failed_write_gap = base::milliseconds(100);
+    /// While the store does not answer, a copy is sent this often, so that it
+    /// is known to be back before the last one has run out of its time (1 s).
+    static constexpr base::duration silent_write_gap = base::milliseconds(250);
+    /// Each copy that is out holds a connection, of eight.
+    static constexpr std::size_t copies_limit = 4;
 
     template <class Function>
     auto guarded(Function function)
@@ -709,14 +716,37 @@
         }
     }
 
+    /// Sends a copy of the write that is out. The condition on the beat lets
+    /// only one of the copies succeed.
     void write()
     {
         this->is_write_out = true;
+        ++this->copies_out;
         auto const sent_at = this->ports.now();
         this->ports.change(
             this->make_change(),
-            this->guarded([this, sent_at](change_result const& result) {
-                this->on_written(result, sent_at);
+            this->guarded([this, sent_at, copy_of = this->sequence](
+                              change_result const& result) {
+                if (copy_of == this->sequence && this->is_write_out) {
+                    --this->copies_out;
+                    this->on_written(result, sent_at);
+                }
+            }));
+        if (this->has_write_failed) {
+            this->write_again_after(silent_write_gap);
+        }
+    }
+
+    void write_again_after(base::duration gap)
+    {
+        this->ports.after(
+            gap, this->guarded([this, number = ++this->repetition] {
+                bool const is_due = this->is_write_out &&
+                                    number == this->repetition &&
+                                    this->copies_out < copies_limit;
+                if (is_due) {
+                    this->write();
+                }
             }));
     }
 
@@ -734,18 +764,19 @@
             this->has_write_failed = true;
             this->may_have_been_written |=
                 result.status != store_status::not_done;
-            if (!this->may_have_been_written) {
+            if (this->is_certainly_not_written()) {
                 this->submissions.on_not_done();
             }
             this->submissions.refuse_waiting();
-            // Repeated as it is: the condition on the beat lets only one of
-            // the copies succeed.
-            this->ports.after(base::milliseconds(100), this->guarded([this] {
-                this->write();
-            }));
+            this->write_again_after(failed_write_gap);
         }
     }
 
+    [[nodiscard]] bool is_certainly_not_written() const
+    {
+        return !this->may_have_been_written && this->copies_out == 0;
+    }
+
     void on_conflict(change_result const& result, base::instant sent_at)
     {
         row const* beat = nullptr;
@@ -756,7 +787,7 @@
                     this->finish_resigning();
                     return;
                 }
-                if (!this->may_have_been_written) {
+                if (this->is_certainly_not_written()) {
                     this->submissions.on_not_done();
                 }
                 this->lose("another host has taken over");
@@ -785,6 +816,7 @@
     void on_commit(base::instant sent_at)
     {
         this->is_write_out = false;
+        this->copies_out = 0; // what they answer is not regarded any more
         ++this->write_count;
         this->writing += this->ports.now() - sent_at;
         this->has_write_failed = false;
@@ -888,6 +920,8 @@
     std::function<void()> resigned{};
     bool is_commit_due = false; ///< is called soon
     bool is_write_out = false;
+    std::size_t copies_out = 0; ///< of the write that is out, not answered yet
+    std::uint64_t repetition = 0;
     bool has_write_failed = false;      ///< the one that is out, at least once
     bool may_have_been_written = false; ///< the one that is out, by a copy
     bool is_learned_due = false;        ///< goes with the write that is out
--- a/libs/jobs/src/election.cpp
+++ b/libs/jobs/src/election.cpp
@@ -85,6 +85,13 @@
                                 : this->options.slow_store_patience;
 }
 
+bool election::is_outage_over(base::instant now) const
+{
+    auto const grace =
+        this->is_suspect() ? base::duration{} : this->options.stalled_patience;
+    return now - this->unread_at >= grace + this->own_wait();
+}
+
 std::string election::leader_address() const
 {
     return this->rows ? this->rows->current.address : std::string{};
@@ -106,7 +113,8 @@
     auto const wait = this->patience();
     if (wait && this->is_read_fresh &&
         this->last_read_at > this->beat_seen_at &&
-        now - this->beat_seen_at >= *wait + this->own_wait()) {
+        now - this->beat_seen_at >= *wait + this->own_wait() &&
+        this->is_outage_over(now)) {
         return step::take_over;
     }
     bool const is_ping_due =
@@ -167,6 +175,7 @@
 void election::on_read_failed(base::instant now)
 {
     this->last_read_at = now;
+    this->unread_at = now;
     this->is_read_fresh = false;
 }
 
--- a/libs/jobs/tests/election_test.cpp
+++ b/libs/jobs/tests/election_test.cpp
@@ -114,6 +114,45 @@
     CHECK(replaced_after(base::milliseconds(300), last_beat) >= 4000);
 }
 
+// The pattern: the store answers nobody for 4 s, then everybody (trouble-3 of
+// the grown Directorate: a host of 0.12 cores took over from a sound leader of
+// 0.5 cores with the first read after the outage, and 100 submissions of the
+// next 3 s were left in doubt). The beat of every leader stands still then.
+TEST_CASE("a leader that answers may write again after an outage of the store")
+{
+    constexpr std::int64_t back_at = 5000;
+    auto const taken_after = [](bool is_leader_alive, std::int64_t own_size) {
+        election voting{{.size = own_size}};
+        auto rows = led_by("1.2.3.4:5", 11);
+        rows.current.size = 500;
+        voting.on_read(rows, quick, {0});
+        for (std::int64_t now = 100; now < 20'000; now += 100) {
+            auto const step = voting.next({now});
+            if (step == election::step::ping && is_leader_alive) {
+                voting.on_ping(
+                    true,
+                    base::milliseconds(std::max<std::int64_t>(100, now - 1000)),
+                    11, {now});
+            } else if (step == election::step::ping) {
+                voting.on_ping_failed({now});
+            } else if (step == election::step::read && now < back_at) {
+                voting.on_read_failed({now});
+            } else if (step == election::step::read) {
+                voting.on_read(rows, quick, {now});
+            } else if (step == election::step::take_over) {
+                return now - back_at;
+            }
+        }
+        return std::int64_t{-1};
+    };
+    auto const alive = taken_after(true, 500);
+    CHECK(alive >= 700); // retries and two writes of a leader come within it
+    CHECK(alive <= 1500);
+    // One that died meanwhile is replaced at once, but by a large host.
+    CHECK(taken_after(false, 500) <= 400);
+    CHECK(taken_after(false, 120) >= 1100);
+}
+
 // Guards against a leader named by another host that is taken for a row that
 // was read, and against an older leader in place of a newer one.
 TEST_CASE("a leader that another host names is pinged, never replaced unread")
--- a/libs/jobs/tests/simulation_test.cpp
+++ b/libs/jobs/tests/simulation_test.cpp
@@ -196,6 +196,39 @@
     CHECK(world.violations.empty());
 }
 
+// The pattern: an outage of the store for all hosts (trouble-3 of the grown
+// Directorate). Guards against a takeover from a sound leader as soon as the
+// store is back, and against a leader that waits for the timeout of its last
+// write before it accepts jobs again.
+TEST_CASE("after an outage of the store its leader goes on at once")
+{
+    for (bool const is_silent : {false, true}) {
+        CAPTURE(is_silent);
+        simulated_world world{1, {}};
+        world.run_for(base::seconds(3));
+        std::size_t leading = 0;
+        while (!world.hosts[leading]->service->is_leading()) {
+            ++leading;
+        }
+        world.store.is_silent = is_silent;
+        world.store.is_down = !is_silent;
+        // Later than a write, so that the timeout of the next one is not over.
+        world.run_for(base::milliseconds(4100));
+        world.store.is_silent = false;
+        world.store.is_down = false;
+        world.run_for(base::milliseconds(500));
+        for (std::size_t host = 0; host < world.hosts.size(); ++host) {
+            world.submit(host, "job" + std::to_string(host), 1);
+        }
+        world.run_for(base::milliseconds(100));
+        CHECK(world.accepted.size() == world.hosts.size());
+        world.run_for(base::seconds(20));
+        CHECK(world.hosts[leading]->service->is_leading());
+        CHECK(world.unfinished().empty());
+        CHECK(world.violations.empty());
+    }
+}
+
 // Guards against a count of 0 from a host that knows no leader, which callers
 // take for an empty queue.
 TEST_CASE("a count of waiting jobs that is unknown or old is not given")
