Follow the headroom of services as a sine of one period

Now a Kalman filter follows a level and a sine for each step. The period is found by comparing 15 candidates on the values of ten steps, by likelihood; until it is known the sine may turn freely.

--- a/libs/jobs/include/foxtaillift/jobs/interference.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/interference.hpp
@@ -11,6 +11,7 @@
 #pragma once
 
 #include "foxtaillift/base/clock.hpp"
+#include "foxtaillift/jobs/headroom.hpp"
 #include "foxtaillift/jobs/linear_estimate.hpp"
 
 #include <cstddef>
@@ -64,6 +65,9 @@
     [[nodiscard]] double
     harm(image_number serving, std::span<image_use const> uses) const;
 
+    /// The period of the load of all services.
+    [[nodiscard]] swing_period& period() { return this->swing; }
+
     /// The pairs that are known, for a successor (MessagePack).
     [[nodiscard]] std::string encode() const;
     /// Takes over what another model has learned. Throws base::error
@@ -76,34 +80,7 @@
     /// 1 + image the harm of that image, negative.
     std::vector<linear_estimate> estimates{};
     std::vector<linear_term> terms{}; ///< of the last observation
-};
-
-/// Follows the headroom of the serving tasks of one step, which share their
-/// users and so their load.
-class headroom_track
-{
-public:
-    void observe(double headroom, double variance, base::instant at);
-
-    /// The headroom expected at `at`, by the last value and its slope.
-    [[nodiscard]] double at(base::instant time) const;
-
-    /// Standard deviation of at(time), for a task of the step.
-    [[nodiscard]] double deviation_at(base::instant time) const;
-
-    /// It was observed at least once.
-    [[nodiscard]] bool is_followed() const { return this->is_known; }
-    [[nodiscard]] double last() const { return this->headroom; }
-
-private:
-    double headroom = 0;
-    double slope_per_s = 0;
-    // Covariance of the two.
-    double headroom_variance = 0;
-    double mixed_variance = 0;
-    double slope_variance = 0;
-    base::instant observed_at{};
-    bool is_known = false;
+    swing_period swing{};
 };
 
 /// Recovers the margins of one serving task from its reports, which smooth the
--- a/libs/jobs/src/interference.cpp
+++ b/libs/jobs/src/interference.cpp
@@ -75,26 +75,6 @@
 /// Error of the learned harm, as a part of its effect.
 constexpr double harm_error = 0.1;
 
-/// How fast the slope of the headroom changes: spectral density of the
-/// curvature of a swing by 0.95 within 10 s, in 1/s^3.
-constexpr double curvature_density = 0.2;
-constexpr double first_slope_variance = 0.2; // 1/s^2
-
-/// The steepest slope of a swing by 0.95 within 10 s, in 1/s.
-constexpr double steepest_slope = 0.6;
-
-/// Further from the forecast, in standard deviations, something else than the
-/// load has changed; such a report counts less.
-constexpr double outlier = 3;
-
-/// Tasks of a step differ at least by this in their headroom.
-constexpr double least_variance = 0.02;
-
-/// A forecast reaches no further.
-constexpr std::int64_t forecast_ms = 1500;
-
-constexpr double ms_per_s = 1000;
-
 void add_factor(
     std::vector<linear_term>& terms, std::size_t coefficient, double factor)
 {
@@ -218,65 +198,6 @@
     });
 }
 
-void headroom_track::observe(double value, double variance, base::instant time)
-{
-    if (!this->is_known) {
-        this->headroom = value;
-        this->headroom_variance = variance;
-        this->slope_variance = first_slope_variance;
-        this->observed_at = time;
-        this->is_known = true;
-        return;
-    }
-    double const dt = static_cast<double>(std::max<std::int64_t>(
-                          0, (time - this->observed_at).ms)) /
-                      ms_per_s;
-    this->headroom = this->at(time);
-    this->observed_at = std::max(time, this->observed_at);
-    if (dt * ms_per_s > forecast_ms) {
-        this->slope_per_s = 0;
-    }
-    this->headroom_variance +=
-        dt * (2 * this->mixed_variance + dt * this->slope_variance) +
-        curvature_density * dt * dt * dt / 3;
-    this->mixed_variance +=
-        dt * this->slope_variance + curvature_density * dt * dt / 2;
-    this->slope_variance += curvature_density * dt;
-
-    double const error = value - this->headroom;
-    double const total = std::max(
-        this->headroom_variance + std::max(variance, least_variance),
-        error * error / (outlier * outlier));
-    double const gain = this->headroom_variance / total;
-    double const slope_gain = this->mixed_variance / total;
-    this->headroom += gain * error;
-    this->slope_per_s = std::clamp(
-        this->slope_per_s + slope_gain * error, -steepest_slope,
-        steepest_slope);
-    this->slope_variance -= slope_gain * this->mixed_variance;
-    this->mixed_variance *= 1 - gain;
-    this->headroom_variance *= 1 - gain;
-}
-
-double headroom_track::at(base::instant time) const
-{
-    auto const ahead =
-        std::clamp<std::int64_t>((time - this->observed_at).ms, 0, forecast_ms);
-    return this->headroom +
-           this->slope_per_s * static_cast<double>(ahead) / ms_per_s;
-}
-
-double headroom_track::deviation_at(base::instant time) const
-{
-    double const dt = static_cast<double>(std::clamp<std::int64_t>(
-                          (time - this->observed_at).ms, 0, forecast_ms)) /
-                      ms_per_s;
-    return std::sqrt(
-        least_variance + this->headroom_variance +
-        dt * (2 * this->mixed_variance + dt * this->slope_variance) +
-        curvature_density * dt * dt * dt / 3);
-}
-
 void serving_history::on_report(
     interference_model& model,
     headroom_track& headroom,
@@ -311,7 +232,7 @@
             serving, this->is_margin_known ? &this->last : nullptr, report);
         double const fall = model.harm(serving, uses);
         headroom.observe(
-            margin + fall,
+            model.period(), margin + fall,
             report.variance + harm_error * fall * harm_error * fall, now);
     }
     this->last = report;
--- a/libs/jobs/tests/interference_test.cpp
+++ b/libs/jobs/tests/interference_test.cpp
@@ -365,11 +365,6 @@
     };
     CHECK(share_beside(0.5) < share_beside(certain) * 0.8);
     CHECK(share_beside(0.5) > 0);
-    headroom_track track;
-    track.observe(2.2, 0.1, base::instant{1000});
-    CHECK(
-        track.deviation_at(base::instant{2000}) >
-        track.deviation_at(base::instant{1000}));
 }
 
 // Guards against HARM (hunt on Rezni Oblak, trouble-1 --seed 587049755359):
