--- a/libs/jobs/src/filling_mix.cpp
+++ b/libs/jobs/src/filling_mix.cpp
@@ -36,23 +36,6 @@
     return least_use + (1 - least_use) * tolerated;
 }
 
-/// All serving tasks have to bear the image.
-double tolerance(
-    interference_model const& model,
-    std::span<image_number const> serving,
-    image_number filling)
-{
-    double tolerated = 1;
-    for (auto const each : serving) {
-        tolerated *= tolerance(model.harm(each, filling));
-    }
-    return tolerated;
-}
-
-/// Room for an image below this, in thousandths of a core, counts as this much:
-/// one worker.
-constexpr double least_supply = 16'000;
-
 } // namespace
 
 void filling_mix::add(image_number image, std::int64_t processors)
@@ -81,57 +64,14 @@
     }
     double sum = 0;
     for (auto const& [image, wanted] : this->demand) {
-        sum +=
-            this->weight_of(image) * use_of(tolerance(model, serving, image));
-    }
-    return sum;
-}
-
-double filling_mix::weight_of(image_number image) const
-{
-    auto const found = this->weights.find(image);
-    if (found != this->weights.end()) {
-        return found->second;
-    }
-    // It came after the last update.
-    return static_cast<double>(this->demand.at(image)) /
-           static_cast<double>(this->total);
-}
-
-void filling_mix::update(
-    interference_model const& model,
-    std::span<filling_room const> rooms,
-    double wanted_processors)
-{
-    this->weights.clear();
-    double sum = 0;
-    for (auto const& [image, wanted] : this->demand) {
-        double supply = 0;
-        for (auto const& room : rooms) {
-            supply += room.processors * tolerance(model, room.serving, image);
+        // All serving tasks have to bear it.
+        double tolerated = 1;
+        for (auto const each : serving) {
+            tolerated *= tolerance(model.harm(each, image));
         }
-        double const weight =
-            static_cast<double>(wanted) / std::max(least_supply, supply);
-        this->weights[image] = weight;
-        sum += weight;
+        sum += static_cast<double>(wanted) * use_of(tolerated);
     }
-    for (auto& [image, weight] : this->weights) {
-        weight /= sum > 0 ? sum : 1;
-    }
-    double usable_rooms = 0;
-    for (auto const& room : rooms) {
-        usable_rooms +=
-            room.processors * this->versatility(model, room.serving);
-    }
-    this->pressure =
-        std::min(1.0, wanted_processors / std::max(1.0, usable_rooms));
-}
-
-double filling_mix::usable(
-    interference_model const& model, filling_room const& room) const
-{
-    return this->pressure * room.processors *
-           this->versatility(model, room.serving);
+    return sum / static_cast<double>(this->total);
 }
 
 } // namespace foxtaillift::jobs
--- a/libs/jobs/src/job_table.cpp
+++ b/libs/jobs/src/job_table.cpp
@@ -175,16 +175,4 @@
     return job;
 }
 
-std::map<std::size_t, std::size_t>
-runs_by_worker(job_entry const& job, std::size_t first, std::size_t count)
-{
-    std::map<std::size_t, std::size_t> result;
-    for (std::size_t i = first; i < first + count; ++i) {
-        for (auto const& run : job.tasks[i].runs) {
-            ++result[run.worker];
-        }
-    }
-    return result;
-}
-
 } // namespace foxtaillift::jobs
--- a/libs/jobs/src/job_table.hpp
+++ b/libs/jobs/src/job_table.hpp
@@ -130,10 +130,6 @@
     [[nodiscard]] std::size_t tasks_in_occurrence() const;
 };
 
-/// Counts the runs of the tasks from `first` on by worker.
-std::map<std::size_t, std::size_t>
-runs_by_worker(job_entry const& job, std::size_t first, std::size_t count);
-
 job_entry make_entry(
     job_spec spec, std::optional<job_progress> progress, base::instant now);
 
--- a/libs/jobs/src/scheduler_core.hpp
+++ b/libs/jobs/src/scheduler_core.hpp
@@ -119,15 +119,6 @@
 /// The part of its speed below which a filling task goes on waiting.
 double least_speed_after(base::duration waited);
 
-/// Serving tasks of one image that could leave their worker.
-struct regrouping
-{
-    std::size_t worker = 0;
-    image_number image = 0;
-    std::vector<run_name> runs{};
-    double gain = 0; ///< of filling tasks there; thousandths of a core
-};
-
 /// What a worker reports of a serving task at work.
 struct serving_reading
 {
@@ -240,7 +231,6 @@
     base::instant searched_at{};  ///< when the vacancies were found
     std::size_t advice_calls = 0; ///< that are out
     base::instant relocated_at{-1'000'000};
-    base::instant regrouped_at{-1'000'000};
     std::size_t next_relocated = 0;    ///< worker that is regarded first
     std::size_t relocations_left = 0;  ///< searches in the current run
     base::instant left_at{-1'000'000}; ///< last search for runs that must leave
@@ -348,23 +338,6 @@
         run_entry const& entry,
         base::instant now) const;
 
-    // scheduler_regrouping.cpp
-    /// Moves serving tasks to workers that have tasks of their image anyway, if
-    /// filling tasks gain enough by the place that they leave.
-    void regroup_serving(base::instant now);
-    [[nodiscard]] filling_room room_of(worker_entry const& worker) const;
-    [[nodiscard]] std::vector<regrouping>
-    find_regroupings(base::instant now) const;
-    /// The tasks of one image on the worker, or none if one must stay.
-    [[nodiscard]] std::vector<run_name> movable_serving(
-        std::size_t worker, image_number image, base::instant now) const;
-    /// A worker for each run, of which none is in `taken`; nothing if there is
-    /// not one for all, or if more is lost there than gained.
-    [[nodiscard]] std::optional<std::vector<std::size_t>> find_targets(
-        regrouping const& wanted,
-        std::set<std::size_t> const& taken,
-        base::instant now) const;
-
     // scheduler_search.cpp
     /// Part of the filling work that cannot be done on a worker any more once
     /// the task is there; 0 to 1.
--- a/libs/jobs/src/scheduler_orders.cpp
+++ b/libs/jobs/src/scheduler_orders.cpp
@@ -100,7 +100,6 @@
         this->place(orders, now, wall_ms);
         this->leave_draining_workers(now);
         this->relocate_slowed(now);
-        this->regroup_serving(now);
     }
     this->add_stops(orders, now);
     this->add_paces(orders);
--- a/libs/jobs/src/scheduler_placing.cpp
+++ b/libs/jobs/src/scheduler_placing.cpp
@@ -41,6 +41,19 @@
 /// A timed task may start this much early at most; the callers allow 250 ms.
 constexpr std::int64_t due_slack_ms = 0;
 
+/// Counts the runs of a step by worker.
+std::map<std::size_t, std::size_t>
+runs_by_worker(job_entry const& job, std::size_t first, std::size_t count)
+{
+    std::map<std::size_t, std::size_t> result;
+    for (std::size_t i = first; i < first + count; ++i) {
+        for (auto const& run : job.tasks[i].runs) {
+            ++result[run.worker];
+        }
+    }
+    return result;
+}
+
 } // namespace
 
 void scheduler::implementation::place(
