Convert a test's period without narrowing, move its callback

Ruled out: any other finding; the linter over all sources printed these two. Conclusion: both tests are as they were, but for the conversion and the move.

--- a/libs/jobs/tests/headroom_test.cpp
+++ b/libs/jobs/tests/headroom_test.cpp
@@ -103,7 +103,8 @@
     for (double const period : {10.0, 14.0}) {
         CAPTURE(period);
         swinging_services services{12, period, 0.95};
-        services.run_for(base::milliseconds(1200 * period));
+        services.run_for(
+            base::milliseconds(static_cast<std::int64_t>(1200 * period)));
         CHECK(services.shared.is_known());
         CHECK(
             services.shared.angular_speed() ==
--- a/libs/jobs/tests/row_follower_test.cpp
+++ b/libs/jobs/tests/row_follower_test.cpp
@@ -29,7 +29,8 @@
 
     void after(base::duration delay, std::function<void()> callback)
     {
-        this->events.push({this->time + delay, this->count++, callback});
+        this->events.push(
+            {this->time + delay, this->count++, std::move(callback)});
     }
 
     void read(
