Revert: stop lasting tasks for short jobs that would be late

A stopped lasting task of a full fleet waits behind others before it serves again, and starts on workers of other images.

Ruled out with it, in a working copy that was not committed: charging the start of a filling task, which works at full speed until its pace is in effect (some 115 ms), with the time for which it brings services over their target.

The paces are near what the forecasts allow: a margin forecast 1.5 to 2 standard deviations above the target is missed in 2 to 6% of the time.

--- a/libs/jobs/src/job_table.cpp
+++ b/libs/jobs/src/job_table.cpp
@@ -175,25 +175,4 @@
     return job;
 }
 
-std::uint32_t unavailable_tasks(
-    job_entry const& job,
-    task_name const& name,
-    std::set<std::pair<std::size_t, run_name>> const& stops)
-{
-    constexpr int at_work = 100; // percent
-    auto const first = job.first_task(name.occurrence, name.step);
-    std::uint32_t count = 0;
-    for (std::size_t i = 0; i < job.spec.steps[name.step].count; ++i) {
-        auto const& runs = job.tasks[first + i].runs;
-        bool const is_at_work =
-            std::any_of(runs.begin(), runs.end(), [&](run_entry const& run) {
-                return run.percent >= at_work &&
-                       !stops.contains(
-                           {run.worker, {job.name_of(first + i), run.attempt}});
-            });
-        count += is_at_work ? 0 : 1;
-    }
-    return count;
-}
-
 } // namespace foxtaillift::jobs
--- a/libs/jobs/src/job_table.hpp
+++ b/libs/jobs/src/job_table.hpp
@@ -12,9 +12,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
-#include <utility>
 #include <vector>
 
 namespace foxtaillift::jobs
@@ -132,12 +130,6 @@
     [[nodiscard]] std::size_t tasks_in_occurrence() const;
 };
 
-/// Tasks of the step that serve nobody now; those that are being stopped count.
-std::uint32_t unavailable_tasks(
-    job_entry const& job,
-    task_name const& name,
-    std::set<std::pair<std::size_t, run_name>> const& stops);
-
 job_entry make_entry(
     job_spec spec, std::optional<job_progress> progress, base::instant now);
 
--- a/libs/jobs/src/placement.cpp
+++ b/libs/jobs/src/placement.cpp
@@ -49,6 +49,17 @@
     return std::find(labels.begin(), labels.end(), label) != labels.end();
 }
 
+bool is_allowed(worker_entry const& worker, placement_wish const& wish)
+{
+    auto const& wanted = *wish.wanted;
+    if (!wanted.required_label.empty() &&
+        !has_label(worker, wanted.required_label)) {
+        return false;
+    }
+    return wanted.tasks_per_worker == 0 ||
+           wish.own_runs < wanted.tasks_per_worker;
+}
+
 obstacle missing_room(worker_entry const& worker, step const& wanted)
 {
     resources after = worker.used;
@@ -141,17 +152,6 @@
             .bearable_pace(wish.image, share_of(worker, wanted)));
 }
 
-bool is_allowed(worker_entry const& worker, placement_wish const& wish)
-{
-    auto const& wanted = *wish.wanted;
-    if (!wanted.required_label.empty() &&
-        !has_label(worker, wanted.required_label)) {
-        return false;
-    }
-    return wanted.tasks_per_worker == 0 ||
-           wish.own_runs < wanted.tasks_per_worker;
-}
-
 obstacle find_obstacle(worker_entry const& worker, placement_wish const& wish)
 {
     return is_allowed(worker, wish) ? missing_room(worker, *wish.wanted)
--- a/libs/jobs/src/placement.hpp
+++ b/libs/jobs/src/placement.hpp
@@ -47,9 +47,6 @@
     double cost = 0; ///< the lower the better; without an obstacle only
 };
 
-/// By labels and the limit of tasks on one worker.
-bool is_allowed(worker_entry const& worker, placement_wish const& wish);
-
 /// What keeps the task from the worker by its room, its labels and the limit of
 /// tasks on one worker.
 obstacle find_obstacle(worker_entry const& worker, placement_wish const& wish);
--- a/libs/jobs/src/scheduler_core.hpp
+++ b/libs/jobs/src/scheduler_core.hpp
@@ -8,14 +8,12 @@
 #include "filling_mix.hpp"
 #include "job_table.hpp"
 #include "placement.hpp"
-#include "preemption.hpp"
 #include "worker_table.hpp"
 
 #include <deque>
 #include <functional>
 #include <map>
 #include <memory>
-#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -98,14 +96,6 @@
     step_advice const* advice = nullptr; ///< where the queue has an adviser
 };
 
-/// A step of a short job that found no room in the current run.
-struct waiting_step
-{
-    job_entry* job = nullptr;
-    std::uint32_t occurrence = 0;
-    std::uint32_t step = 0;
-};
-
 /// A worker that may get tasks in the current run of the decisions.
 struct vacancy
 {
@@ -238,11 +228,8 @@
     /// By service; made at the start of each run, since a search looks at all
     /// of them and most have no room.
     std::map<std::string, std::vector<vacancy>, std::less<>> vacancies;
-    base::instant searched_at{};           ///< when the vacancies were found
-    std::size_t advice_calls = 0;          ///< that are out
-    std::vector<waiting_step> short_waits; ///< of the current run
-    base::instant preempted_at{-1'000'000};
-    double mean_stop_ms = 0; ///< until a stopped run is listed as ended
+    base::instant searched_at{};  ///< when the vacancies were found
+    std::size_t advice_calls = 0; ///< that are out
     base::instant relocated_at{-1'000'000};
     std::size_t next_relocated = 0;    ///< worker that is regarded first
     std::size_t relocations_left = 0;  ///< searches in the current run
@@ -340,34 +327,6 @@
         occupancy const& taken,
         base::instant now) const;
 
-    // scheduler_preemption.cpp
-    /// The step has tasks without room; call while the jobs are placed.
-    void note_short_wait(
-        job_entry& job,
-        std::uint32_t occurrence,
-        std::uint32_t step,
-        base::instant now);
-    void preempt_for_short_jobs(base::instant now);
-    void preempt_for(waiting_step const& wait, base::instant now);
-    /// The job can still be in time if it gets room soon.
-    [[nodiscard]] bool
-    is_worth_preemption(waiting_step const& wait, base::instant now) const;
-    /// `offered` names the runs by their numbers.
-    [[nodiscard]] std::vector<preemptible_worker> find_preemptible(
-        waiting_step const& wait,
-        std::vector<std::pair<std::size_t, run_name>>& offered,
-        base::instant now);
-    /// What the users of the run lose in processor milliseconds, or nothing if
-    /// it must not be stopped. `allowed` counts what may yet be taken of each
-    /// step.
-    [[nodiscard]] std::optional<double> preemption_loss(
-        std::size_t worker,
-        run_name const& run,
-        waiting_step const& wait,
-        std::map<step_name, std::uint32_t>& allowed);
-    [[nodiscard]] base::duration stop_time() const;
-    void note_stop_time(base::duration took);
-
     // scheduler_relocation.cpp
     /// Stops filling tasks that hardly work where they are, if they would work
     /// elsewhere; they go on there from their checkpoints.
--- a/libs/jobs/src/scheduler_jobs.cpp
+++ b/libs/jobs/src/scheduler_jobs.cpp
@@ -26,7 +26,6 @@
 
 scheduler::implementation::implementation(scheduler_options settings)
     : options(std::move(settings))
-    , mean_stop_ms(static_cast<double>(this->options.stop_timeout.ms) / 2)
 {}
 
 void scheduler::implementation::log(base::event_line const& line) const
--- a/libs/jobs/src/scheduler_orders.cpp
+++ b/libs/jobs/src/scheduler_orders.cpp
@@ -98,7 +98,6 @@
     if (may_grant) {
         this->find_vacancies(now);
         this->place(orders, now, wall_ms);
-        this->preempt_for_short_jobs(now);
         this->leave_draining_workers(now);
         this->relocate_slowed(now);
     }
--- a/libs/jobs/src/scheduler_placing.cpp
+++ b/libs/jobs/src/scheduler_placing.cpp
@@ -92,7 +92,6 @@
         return failed.until <= now;
     });
     this->starts_left = starts_in_run;
-    this->short_waits.clear();
     for (auto const& entry : waiting) {
         auto& job = *std::get<job_entry*>(entry);
         if (job.idle > 0) {
@@ -180,7 +179,6 @@
             .need = wanted.need,
             .until = wanted.is_filling ? now + filling_retry : now};
         if (!this->is_placeable(kind)) {
-            this->note_short_wait(job, occurrence, step_number, now);
             return;
         }
         auto const found = this->find_worker(
@@ -192,7 +190,6 @@
                   .advice = this->advice_on(job, job.name_of(i))});
         if (!found.worker) {
             this->ask_adviser(job, job.name_of(i), orders, now);
-            this->note_short_wait(job, occurrence, step_number, now);
             this->log_wait(job, job.name_of(i), found, now);
             bool const is_particular = !wanted.required_label.empty() ||
                                        wanted.tasks_per_worker > 0 ||
--- a/libs/jobs/src/scheduler_reports.cpp
+++ b/libs/jobs/src/scheduler_reports.cpp
@@ -209,10 +209,6 @@
             .add("number", end.number)
             .add("known", run != nullptr)
             .add("ran_ms", run ? now - run->started_at : base::duration{}));
-    if (run != nullptr && end.outcome == run_outcome::stopped &&
-        run->stop_sent_at > run->started_at) {
-        this->note_stop_time(now - run->stop_sent_at);
-    }
     if (!place) {
         worker.release(end.run);
         this->stops.erase({index, end.run});
