Ask about orders whose answers are overdue, and read ends while answers are lost

A start without an answer was looked for after the order's limit of 400 ms; a look without one left the ends of its worker unread for up to 1.4 s and a recovery waiting for 455 instead of 80 ms; a stop without one was sent again after a second; a pace without one was ordered again with the next report, and an older one that is carried out seconds later stayed in force.

Now an order that is not answered within 80 ms is asked about by a look beside the usual one; a look that is overdue is followed by another, and a worker that answers it is not silent; stops are repeated after 100, 200, 400, 800 ms; a pace is ordered again at once, and each second for 12 s. After two lost answers within 2 s, looks wait for 0.3 instead of 1 s. The answer of a stop or of a pace that failed wakes the decisions.

Ruled out: a shorter limit of the orders themselves. On a busy host of a tenth of a core it would stop runs that were started.

--- a/libs/jobs/benchmarks/busy_fleet_benchmark.cpp
+++ b/libs/jobs/benchmarks/busy_fleet_benchmark.cpp
@@ -318,7 +318,8 @@
                 each.percent = order.percent;
             }
         }
-        this->decisions.on_pace(order.worker, order.run, order_status::done);
+        this->decisions.on_pace(
+            order.worker, order.run, order_status::done, this->now);
     }
 
     void commit()
--- a/libs/jobs/include/foxtaillift/jobs/leader.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/leader.hpp
@@ -505,6 +505,7 @@
             order, this->guarded([this, id = order.worker,
                                   run = order.run](order_status status) {
                 this->decisions.on_stop(id, run, status, this->ports.now());
+                this->wake();
             }));
     }
 
@@ -523,7 +524,10 @@
         this->ports.pace(
             order, this->guarded([this, id = order.worker,
                                   run = order.run](order_status status) {
-                this->decisions.on_pace(id, run, status);
+                this->decisions.on_pace(id, run, status, this->ports.now());
+                if (status != order_status::done) {
+                    this->wake();
+                }
             }));
     }
 
--- a/libs/jobs/include/foxtaillift/jobs/scheduler.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/scheduler.hpp
@@ -154,8 +154,11 @@
         order_status status,
         base::instant now);
 
-    void
-    on_pace(std::string_view worker, run_name const& run, order_status status);
+    void on_pace(
+        std::string_view worker,
+        run_name const& run,
+        order_status status,
+        base::instant now);
 
     /// Nothing if the adviser gave no usable answer.
     void on_advice(
--- a/libs/jobs/src/job_table.hpp
+++ b/libs/jobs/src/job_table.hpp
@@ -42,10 +42,13 @@
     double worked_ms = 0;
     base::instant measured_at{};
     int pace = 100; ///< percent, as ordered last
+    base::instant paced_at{};
+    bool is_pace_out = false; ///< the order is not answered yet
+    /// An order of another pace that was not answered may be carried out until
+    /// then.
+    base::instant pace_doubtful_until{-1'000'000};
     /// Since when a filling run is to work at a small part of its speed.
     std::optional<base::instant> slowed_since{};
-    bool is_stop_out = false;
-    base::instant stop_sent_at{-1'000'000};
     std::optional<base::instant> stop_confirmed_at{};
 };
 
--- a/libs/jobs/src/scheduler.cpp
+++ b/libs/jobs/src/scheduler.cpp
@@ -150,10 +150,13 @@
 }
 
 void scheduler::on_pace(
-    std::string_view worker, run_name const& run, order_status status)
+    std::string_view worker,
+    run_name const& run,
+    order_status status,
+    base::instant now)
 {
     if (auto const index = this->impl->workers.find(worker)) {
-        this->impl->on_pace(*index, run, status);
+        this->impl->on_pace(*index, run, status, now);
     }
 }
 
--- a/libs/jobs/src/scheduler_core.hpp
+++ b/libs/jobs/src/scheduler_core.hpp
@@ -31,6 +31,10 @@
 /// a worker kills what lapsed.
 constexpr base::duration lapse_margin = base::milliseconds(250);
 
+/// Workers answer within some 10 ms, and 30 where a host of a tenth of a core
+/// is busy. What was not answered for longer is asked about.
+constexpr base::duration overdue_answer = base::milliseconds(80);
+
 /// The time within which a span on a worker's clock, which may be 2% slow, is
 /// certainly over.
 base::duration on_slow_clock(base::duration span);
@@ -128,6 +132,23 @@
     double tail_over_target = 0;
 };
 
+/// The orders to stop a run.
+struct stop_orders
+{
+    base::instant sent_at{-1'000'000}; ///< the last one
+    int sent = 0;
+};
+using stop_table = std::map<std::pair<std::size_t, run_name>, stop_orders>;
+
+/// A start or a pace of which the answer is awaited.
+struct awaited_order
+{
+    std::size_t worker = 0;
+    run_name run{};
+    base::instant sent_at{};
+    bool is_start = false;
+};
+
 class scheduler::implementation
 {
 public:
@@ -161,7 +182,11 @@
         run_name const& run,
         order_status status,
         base::instant now);
-    void on_pace(std::size_t worker, run_name const& run, order_status status);
+    void on_pace(
+        std::size_t worker,
+        run_name const& run,
+        order_status status,
+        base::instant now);
 
     // Orders (scheduler_orders.cpp)
     std::vector<worker_order>
@@ -234,7 +259,10 @@
     std::size_t next_relocated = 0;    ///< worker that is regarded first
     std::size_t relocations_left = 0;  ///< searches in the current run
     base::instant left_at{-1'000'000}; ///< last search for runs that must leave
-    std::set<std::pair<std::size_t, run_name>> stops; ///< wanted, not yet over
+    stop_table stops;                  ///< wanted, not yet over
+    std::deque<awaited_order> awaited; ///< oldest first
+    base::instant answer_lost_at{-1'000'000};     ///< the last one
+    base::instant answers_lost_until{-1'000'000}; ///< more are to be expected
     std::map<std::string, std::vector<orphan_run>> orphans; ///< by job
     std::vector<std::string> dirty;
     base::instant wait_lines_since{-1'000'000};
@@ -289,13 +317,28 @@
         std::span<serving_reading const> readings,
         std::span<image_use const> uses);
 
+    // scheduler_answers.cpp
+    /// Has workers asked about orders whose answers are overdue.
+    void check_awaited(base::instant now);
+    /// An order to a worker that answers others was not answered.
+    void note_lost_answer(std::size_t worker, base::instant now);
+    /// The same if the worker has answered a look since the order was sent.
+    void note_unanswered(
+        std::size_t worker, base::instant sent_at, base::instant now);
+    [[nodiscard]] bool are_answers_lost(base::instant now) const;
+    void add_extra_look(
+        std::vector<worker_order>& orders,
+        worker_entry& worker,
+        base::instant now);
+
     // scheduler_orders.cpp
     void expire_leases(base::instant now);
     void add_stops(std::vector<worker_order>& orders, base::instant now);
-    void add_paces(std::vector<worker_order>& orders);
-    void add_extra_look(
+    void add_paces(std::vector<worker_order>& orders, base::instant now);
+    void add_pace(
         std::vector<worker_order>& orders,
-        worker_entry& worker,
+        std::size_t worker,
+        run_name const& run,
         base::instant now);
     void add_looks(
         std::vector<worker_order>& orders, base::instant now, bool may_grant);
--- a/libs/jobs/src/scheduler_draining.cpp
+++ b/libs/jobs/src/scheduler_draining.cpp
@@ -31,9 +31,7 @@
 
 /// Tasks of the step that serve nobody now.
 std::uint32_t unavailable_tasks(
-    job_entry const& job,
-    task_name const& name,
-    std::set<std::pair<std::size_t, run_name>> const& stops)
+    job_entry const& job, task_name const& name, stop_table const& stops)
 {
     auto const first = job.first_task(name.occurrence, name.step);
     std::uint32_t count = 0;
--- a/libs/jobs/src/scheduler_jobs.cpp
+++ b/libs/jobs/src/scheduler_jobs.cpp
@@ -217,7 +217,7 @@
 void scheduler::implementation::stop_run(
     std::size_t worker, run_name const& run)
 {
-    this->stops.emplace(worker, run);
+    this->stops.try_emplace({worker, run});
 }
 
 void scheduler::implementation::open_run(
--- a/libs/jobs/src/scheduler_orders.cpp
+++ b/libs/jobs/src/scheduler_orders.cpp
@@ -8,18 +8,38 @@
 namespace
 {
 
-/// A stop without a confirmation is sent again after this.
+/// A stop that was confirmed takes up to 0.9 s.
 constexpr base::duration stop_retry = base::milliseconds(1000);
 
+/// One that is not answered is sent again after this, and after twice the time
+/// whenever that was not answered either.
+constexpr base::duration first_stop_gap = base::milliseconds(100);
+constexpr int longest_stop_shift = 3; // 0.8 s
+
+base::duration stop_gap(run_entry const* run, stop_orders const& orders)
+{
+    if (orders.sent == 0) {
+        return {};
+    }
+    if (run != nullptr && run->stop_confirmed_at) {
+        return stop_retry;
+    }
+    return first_stop_gap *
+           (1 << std::min(orders.sent - 1, longest_stop_shift));
+}
+
 /// While a start or a stop of the worker is unresolved, or its filling tasks
 /// are slowed down, its report must not wait long. Reports smooth the tails of
 /// serving tasks over half a second; each one has a price.
 constexpr base::duration short_wait = base::milliseconds(100);
 constexpr base::duration paced_wait = base::milliseconds(500);
 
-/// Between looks that tell what became of a start without an answer; a stop
-/// that rules it out is answered in between.
-constexpr base::duration extra_look_gap = base::milliseconds(30);
+/// While answers are lost, a worker is not heard for as long as its look waits.
+constexpr base::duration lossy_wait = base::milliseconds(300);
+
+/// Orders of a pace are repeated this often while an older one may still be
+/// carried out.
+constexpr base::duration doubtful_pace_gap = base::milliseconds(1000);
 
 /// Without runs a worker is only looked at to see that it lives.
 constexpr base::duration idle_wait = base::milliseconds(2000);
@@ -94,6 +114,7 @@
 {
     std::vector<worker_order> orders;
     this->expire_leases(now);
+    this->check_awaited(now);
     this->update_recovery(now);
     if (may_grant) {
         this->find_vacancies(now);
@@ -102,7 +123,7 @@
         this->relocate_slowed(now);
     }
     this->add_stops(orders, now);
-    this->add_paces(orders);
+    this->add_paces(orders, now);
     this->add_looks(orders, now, may_grant);
     return orders;
 }
@@ -129,21 +150,20 @@
 void scheduler::implementation::add_stops(
     std::vector<worker_order>& orders, base::instant now)
 {
-    for (auto const& [index, run] : this->stops) {
+    for (auto& [key, sent] : this->stops) {
+        auto const& [index, run] = key;
         auto const& worker = this->workers[index];
         if (worker.silent_looks > 0) {
             continue; // its lease runs out by itself
         }
         auto* const entry = this->find_run(index, run);
-        if (entry != nullptr) {
-            if (entry->is_stop_out || now - entry->stop_sent_at < stop_retry) {
-                continue;
-            }
-            entry->is_stop_out = true;
-            entry->stop_sent_at = now;
-            if (entry->phase == run_phase::running) {
-                entry->phase = run_phase::stopping;
-            }
+        if (now - sent.sent_at < stop_gap(entry, sent)) {
+            continue;
+        }
+        sent.sent_at = now;
+        ++sent.sent;
+        if (entry != nullptr && entry->phase == run_phase::running) {
+            entry->phase = run_phase::stopping;
         }
         orders.emplace_back(stop_order{
             .worker = worker.info.id,
@@ -157,7 +177,8 @@
     }
 }
 
-void scheduler::implementation::add_paces(std::vector<worker_order>& orders)
+void scheduler::implementation::add_paces(
+    std::vector<worker_order>& orders, base::instant now)
 {
     for (std::size_t i = 0; i < this->workers.size(); ++i) {
         auto& worker = this->workers[i];
@@ -166,56 +187,55 @@
         }
         worker.is_pace_due = false;
         for (auto const& [run, taken] : worker.runs) {
-            if (!taken.is_filling) {
-                continue;
-            }
-            auto* const entry = this->find_run(i, run);
-            if (entry == nullptr || entry->pace == taken.percent) {
-                continue;
+            if (taken.is_filling) {
+                this->add_pace(orders, i, run, now);
             }
-            if (entry->phase != run_phase::running) {
-                // Its start is not answered yet.
-                worker.is_pace_due |= entry->phase == run_phase::starting;
-                continue;
-            }
-            entry->pace = taken.percent;
-            orders.emplace_back(pace_order{
-                .worker = worker.info.id,
-                .address = worker.info.address,
-                .run = run,
-                .percent = taken.percent,
-                .token = this->options.token});
         }
     }
 }
 
-/// The answer of the usual look may be held back for a second, until a run
-/// ends.
-void scheduler::implementation::add_extra_look(
-    std::vector<worker_order>& orders, worker_entry& worker, base::instant now)
+void scheduler::implementation::add_pace(
+    std::vector<worker_order>& orders,
+    std::size_t index,
+    run_name const& run,
+    base::instant now)
 {
-    if (worker.unresolved.empty() || worker.is_extra_look_out ||
-        worker.silent_looks > 0 ||
-        now - worker.extra_look_at < extra_look_gap) {
+    auto& worker = this->workers[index];
+    auto const percent = worker.runs.at(run).percent;
+    auto* const entry = this->find_run(index, run);
+    if (entry == nullptr) {
         return;
     }
-    worker.is_extra_look_out = true;
-    worker.extra_look_at = now;
-    orders.emplace_back(look_order{
+    bool const is_repeated = now < entry->pace_doubtful_until &&
+                             now - entry->paced_at >= doubtful_pace_gap;
+    if (entry->pace == percent && !is_repeated) {
+        return;
+    }
+    if (entry->phase != run_phase::running) {
+        // Its start is not answered yet.
+        worker.is_pace_due |= entry->phase == run_phase::starting;
+        return;
+    }
+    entry->pace = percent;
+    entry->paced_at = now;
+    entry->is_pace_out = true;
+    this->awaited.push_back({.worker = index, .run = run, .sent_at = now});
+    orders.emplace_back(pace_order{
         .worker = worker.info.id,
         .address = worker.info.address,
-        .token = this->options.token,
-        .acknowledged = worker.acknowledged,
-        .is_extra = true});
+        .run = run,
+        .percent = percent,
+        .token = this->options.token});
 }
 
 void scheduler::implementation::add_looks(
     std::vector<worker_order>& orders, base::instant now, bool may_grant)
 {
     std::vector<char> is_unresolved(this->workers.size(), 0);
-    for (auto const& [index, run] : this->stops) {
-        is_unresolved[index] = 1;
+    for (auto const& [key, sent] : this->stops) {
+        is_unresolved[key.first] = 1;
     }
+    bool const is_lossy = this->are_answers_lost(now);
     for (std::size_t i = 0; i < this->workers.size(); ++i) {
         auto& worker = this->workers[i];
         if (worker.is_look_out) {
@@ -241,7 +261,8 @@
             .wait = worker.runs.empty() ? idle_wait : this->options.look_wait};
         // After a silence another life of the worker may answer, whose ends
         // count from 1; it must not forget them.
-        bool const is_certain = worker.is_heard && worker.silent_looks == 0;
+        bool const is_certain =
+            worker.is_heard && worker.silent_looks == 0 && !worker.is_look_lost;
         look.acknowledged = is_certain ? worker.acknowledged : 0;
         if (!is_certain) {
             look.wait = {};
@@ -250,6 +271,9 @@
         } else if (worker.is_tight) {
             look.wait = paced_wait;
         }
+        if (is_lossy && !worker.runs.empty()) {
+            look.wait = std::min(look.wait, lossy_wait);
+        }
         // A silent worker gets no longer lease, or what runs there would never
         // be given up.
         if (may_grant && is_certain && !worker.is_closed) {
@@ -260,6 +284,7 @@
             worker.granted_at = now;
         }
         worker.is_look_out = true;
+        worker.look_overdue_at = now + look.wait + overdue_answer;
         orders.emplace_back(std::move(look));
     }
 }
--- a/libs/jobs/src/scheduler_pacing.cpp
+++ b/libs/jobs/src/scheduler_pacing.cpp
@@ -227,16 +227,4 @@
     }
 }
 
-void scheduler::implementation::on_pace(
-    std::size_t index, run_name const& run, order_status status)
-{
-    if (status == order_status::fenced) {
-        this->is_fenced = true;
-    }
-    auto* const entry = this->find_run(index, run);
-    if (entry != nullptr && status != order_status::done) {
-        entry->pace = -1; // it is ordered again with the next report
-    }
-}
-
 } // namespace foxtaillift::jobs
--- a/libs/jobs/src/scheduler_placing.cpp
+++ b/libs/jobs/src/scheduler_placing.cpp
@@ -397,6 +397,11 @@
                   .add("checkpoint", task.checkpoint)
                   .add("waited_ms", now - job.seen_at));
     auto const* const advice = this->advice_on(job, name);
+    this->awaited.push_back(
+        {.worker = index,
+         .run = {name, attempt},
+         .sent_at = now,
+         .is_start = true});
     orders.emplace_back(start_order{
         .worker = worker.info.id,
         .address = worker.info.address,
--- a/libs/jobs/src/scheduler_reports.cpp
+++ b/libs/jobs/src/scheduler_reports.cpp
@@ -75,6 +75,11 @@
     } else {
         worker.is_look_out = false;
         worker.look_due = now;
+        if (status == order_status::unknown && worker.heard_sent_at > sent_at) {
+            worker.is_look_lost = true;
+            this->note_lost_answer(index, now);
+            return; // it has answered a later one
+        }
     }
     if (status == order_status::done) {
         this->take_report(index, report, sent_at, now);
@@ -134,6 +139,7 @@
     worker.inherited_until.reset();
     worker.is_gone = false;
     worker.silent_looks = 0;
+    worker.is_look_lost = false;
     worker.heard_at = now;
     worker.heard_sent_at = std::max(worker.heard_sent_at, sent_at);
     worker.clock.on_answer(report.clock_ms, now);
@@ -406,9 +412,15 @@
         this->forget_orphan(index, run);
         return;
     }
-    if (entry->phase == run_phase::starting || entry->settled_at >= sent_at) {
+    if (entry->settled_at >= sent_at ||
+        (entry->phase == run_phase::starting &&
+         sent_at - entry->started_at < overdue_answer)) {
         return; // the report may be older than the run
     }
+    if (entry->phase == run_phase::starting) {
+        entry->phase = run_phase::unknown;
+        this->note_lost_answer(index, now);
+    }
     if (entry->phase == run_phase::unknown) {
         // The start may still be carried out; a stop rules that out.
         if (!entry->stop_confirmed_at) {
@@ -475,9 +487,16 @@
     }
     auto* const entry = this->find_run(index, run);
     auto* const job = this->find_job(run.task.job);
-    if (entry == nullptr || entry->phase != run_phase::starting) {
+    bool const is_open =
+        entry != nullptr && (entry->phase == run_phase::starting ||
+                             entry->phase == run_phase::unknown);
+    if (!is_open) {
         return; // a report was faster
     }
+    if (entry->phase == run_phase::unknown &&
+        (status == order_status::done || status == order_status::unknown)) {
+        return; // it is being stopped
+    }
     if (status == order_status::done) {
         entry->phase = run_phase::running;
         entry->settled_at = now;
@@ -492,6 +511,7 @@
         entry->phase = run_phase::unknown;
         entry->settled_at = now;
         this->workers[index].unresolved.insert(run);
+        this->note_unanswered(index, entry->started_at, now);
         return;
     }
     auto const ordinal = *job->ordinal(run.task);
@@ -519,7 +539,6 @@
     if (entry == nullptr) {
         return;
     }
-    entry->is_stop_out = false;
     if (status == order_status::done || status == order_status::outdated) {
         entry->stop_confirmed_at = now;
     }
--- a/libs/jobs/src/worker_table.hpp
+++ b/libs/jobs/src/worker_table.hpp
@@ -77,12 +77,15 @@
     bool is_gone = false;             ///< nothing can run there any more
 
     bool is_look_out = false;
+    base::instant look_overdue_at{}; ///< its answer should have come by then
     bool is_extra_look_out = false;
     base::instant extra_look_at{-1'000'000};
     base::instant look_due{};
-    /// Runs whose starts were not answered; a look tells what became of them.
+    /// Runs whose starts are not answered in time; a look tells what became of
+    /// them.
     std::set<run_name> unresolved{};
-    int silent_looks = 0;                 ///< in a row
+    int silent_looks = 0;      ///< in a row
+    bool is_look_lost = false; ///< the last one, though it answered another
     base::instant granted_at{-1'000'000}; ///< when its last lease was sent
     /// Named in the record of silent workers, or about to be: nothing starts
     /// there and no lease grows until a record without it is durable.
