Take the job service of a host apart into parts of one task each

The coordinator is now made of the submitter, the canceller, the job_reader and the candidate, which share the host_state; the leader of the inherited_state_loader, the record_writer (with the copied_write that sends a change until it is answered, and the leader_record that says which rows it has), the order_sender and the worker_roster. What connects them to the outside is a concept, host_ports, instead of a comment.

--- /dev/null
+++ b/libs/jobs/include/foxtaillift/jobs/host_state.hpp
@@ -0,0 +1,84 @@
+/// What the parts of the job service of one entry host share.
+#pragma once
+
+#include "foxtaillift/base/clock.hpp"
+#include "foxtaillift/jobs/contact.hpp"
+#include "foxtaillift/jobs/election.hpp"
+#include "foxtaillift/jobs/fleet.hpp"
+#include "foxtaillift/jobs/host_ports.hpp"
+#include "foxtaillift/jobs/leader.hpp"
+#include "foxtaillift/jobs/peer_message.hpp"
+#include "foxtaillift/jobs/rows.hpp"
+#include "foxtaillift/jobs/store_health.hpp"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+
+namespace foxtaillift::jobs
+{
+
+struct coordinator_options
+{
+    std::string host{};
+    std::string failure_domain{};
+    std::string peer_address{}; ///< where peers reach this process
+    std::string nonce{};        ///< unique for this process
+    election_options electing{};
+    leader_options leading{};
+};
+
+using outcome_callback = std::function<void(request_outcome)>;
+
+template <host_ports Ports>
+struct host_state
+{
+    host_state(Ports& ports_to_use, coordinator_options settings)
+        : ports(ports_to_use)
+        , options(std::move(settings))
+        , voting(this->options.electing)
+    {}
+
+    /// A leader answers each ping, every 500 ms. One that has said nothing for
+    /// longer may be dead: hosts write submissions by themselves.
+    static constexpr base::duration leader_answer_age = base::milliseconds(900);
+
+    [[nodiscard]] bool has_peer_leader() const
+    {
+        return !this->led && !this->voting.leader_address().empty() &&
+               this->voting.leader_address() != this->options.peer_address;
+    }
+
+    [[nodiscard]] bool is_leader_doubtful() const
+    {
+        return this->ports.now() - this->leader_answered_at > leader_answer_age;
+    }
+
+    /// This host leads and knows what lasts.
+    [[nodiscard]] bool is_leading() const
+    {
+        return this->led && this->led->is_loaded();
+    }
+
+    /// Call with the result of each call to the store.
+    void note_store(store_status status, base::instant sent_at)
+    {
+        auto const now = this->ports.now();
+        this->store.note(status, now - sent_at, now);
+        if (store_health::is_answer(status)) {
+            this->reach.on_contact(now);
+        }
+    }
+
+    Ports& ports;
+    coordinator_options options;
+    election voting;
+    contact reach{};
+    store_health store{};
+    fleet_configuration configuration{};
+    std::shared_ptr<leader<Ports>> led{};
+    base::instant leader_answered_at{-1'000'000};
+};
+
+} // namespace foxtaillift::jobs
--- /dev/null
+++ b/libs/jobs/include/foxtaillift/jobs/leader_record.hpp
@@ -0,0 +1,37 @@
+/// One write of a leader's records, as rows of the store.
+#pragma once
+
+#include "foxtaillift/jobs/election.hpp"
+#include "foxtaillift/jobs/rows.hpp"
+#include "foxtaillift/jobs/scheduler.hpp"
+#include "foxtaillift/jobs/worker.hpp"
+#include "foxtaillift/jobs/worker_roster.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace foxtaillift::jobs
+{
+
+struct leader_record
+{
+    std::uint64_t sequence = 0; ///< of writes in this leadership
+    commit_batch jobs{};
+    worker_roster::worker_map workers{};   ///< empty: those named before
+    std::optional<std::string> learned{};  ///< see scheduler::learned()
+    std::vector<std::string> forgotten{};  ///< jobs whose state can go
+    std::optional<leadership> successor{}; ///< gives the leadership up
+    /// Workers that do not answer; nothing: those named before.
+    std::optional<std::vector<silent_worker>> silent{};
+};
+
+/// The change that makes it durable, on condition of the leader's rows.
+/// `store_ms` is the store's time, 0 if it is not known.
+row_change make_change(
+    leader_record const& record,
+    lead_rows const& conditions,
+    std::int64_t store_ms);
+
+} // namespace foxtaillift::jobs
--- /dev/null
+++ b/libs/jobs/include/foxtaillift/jobs/submitter.hpp
@@ -0,0 +1,281 @@
+/// Makes the jobs of this host's callers durable.
+#pragma once
+
+#include "foxtaillift/base/clock.hpp"
+#include "foxtaillift/jobs/host_state.hpp"
+#include "foxtaillift/jobs/job.hpp"
+#include "foxtaillift/jobs/peer_message.hpp"
+#include "foxtaillift/jobs/progress.hpp"
+#include "foxtaillift/jobs/rows.hpp"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+
+namespace foxtaillift::jobs
+{
+
+/// The leader writes all that it gets in one change and knows the job at once.
+/// A host that knows no leader writes by itself. A caller is told "refused"
+/// only if the job certainly does not run.
+template <host_ports Ports>
+class submitter : public std::enable_shared_from_this<submitter<Ports>>
+{
+public:
+    explicit submitter(std::shared_ptr<host_state<Ports>> shared)
+        : host(std::move(shared))
+    {}
+
+    /// `deadline` bounds the time until the callback.
+    void submit(
+        job_spec const& job, base::duration deadline, outcome_callback callback)
+    {
+        auto request = std::make_shared<submission>();
+        request->id = job.id;
+        request->value = encode(job);
+        request->give_up_at = this->host->ports.now() + deadline;
+        request->callback = std::move(callback);
+        this->host->ports.after(deadline, this->bound([this, request] {
+            this->finish(
+                *request, request->may_have_run || request->is_sent
+                              ? request_outcome::unknown
+                              : request_outcome::refused);
+        }));
+        this->try_submit(request);
+    }
+
+private:
+    struct submission
+    {
+        std::string id{};
+        std::string value{};
+        base::instant give_up_at{};
+        outcome_callback callback{};
+        bool may_have_run = false; ///< a copy whose outcome is not known
+        bool is_sent = false;      ///< a copy is out
+    };
+    using submission_ptr = std::shared_ptr<submission>;
+
+    static constexpr base::duration leader_check = base::milliseconds(200);
+    /// Before a request whose outcome is unknown is sent again.
+    static constexpr base::duration retry_gap = base::milliseconds(150);
+    /// A host that has heard the store this recently writes at once.
+    static constexpr base::duration store_known = base::milliseconds(500);
+    /// A store that answers a read no sooner counts as silent: it takes 4 ms,
+    /// or up to 70 times as long while it is slow.
+    static constexpr base::duration probe_limit = base::milliseconds(500);
+
+    template <class Function>
+    auto bound(Function function)
+    {
+        return [self = this->shared_from_this(),
+                function = std::move(function)](auto&&... arguments) mutable {
+            function(std::forward<decltype(arguments)>(arguments)...);
+        };
+    }
+
+    void try_submit(submission_ptr const& request)
+    {
+        if (this->host->is_leading()) {
+            this->submit_here(request);
+        } else if (
+            this->host->has_peer_leader() &&
+            !this->host->is_leader_doubtful()) {
+            this->submit_to_leader(request);
+        } else {
+            this->submit_alone(request);
+        }
+    }
+
+    void submit_here(submission_ptr const& request)
+    {
+        request->is_sent = true;
+        this->host->led->submit(
+            {.job = request->id,
+             .value = request->value,
+             // Held weakly: the leader may outlive its host's service.
+             .callback = [weak = this->weak_from_this(),
+                          request](store_status status) {
+                 if (auto const self = weak.lock()) {
+                     self->on_submitted(request, status);
+                 }
+             }});
+    }
+
+    void on_submitted(submission_ptr const& request, store_status status)
+    {
+        request->is_sent = false;
+        if (status == store_status::done) {
+            this->finish(*request, request_outcome::accepted);
+            return;
+        }
+        request->may_have_run |= status == store_status::unknown;
+        this->submit_again(request);
+    }
+
+    void submit_to_leader(submission_ptr const& request)
+    {
+        request->is_sent = true;
+        auto const is_answered = std::make_shared<bool>(false);
+        this->host->ports.ask(
+            this->host->voting.leader_address(),
+            {.kind = peer_kind::submit,
+             .name = request->id,
+             .value = request->value},
+            this->bound([this, request,
+                         is_answered](std::optional<peer_reply> const& reply) {
+                if (!std::exchange(*is_answered, true)) {
+                    this->on_leader_answer(request, reply);
+                }
+            }));
+        this->await_leader(request, is_answered);
+    }
+
+    /// Stops waiting for a leader that answers nothing at all any more.
+    void await_leader(
+        submission_ptr const& request, std::shared_ptr<bool> const& is_answered)
+    {
+        this->host->ports.after(
+            leader_check, this->bound([this, request, is_answered] {
+                if (*is_answered) {
+                    return;
+                }
+                if (this->host->is_leader_doubtful()) {
+                    *is_answered = true;
+                    this->on_leader_answer(request, std::nullopt);
+                } else {
+                    this->await_leader(request, is_answered);
+                }
+            }));
+    }
+
+    void on_leader_answer(
+        submission_ptr const& request, std::optional<peer_reply> const& reply)
+    {
+        if (reply && reply->submission == store_status::done) {
+            this->finish(*request, request_outcome::accepted);
+            return;
+        }
+        request->is_sent = false;
+        bool const is_certain =
+            reply && reply->submission != store_status::unknown;
+        request->may_have_run |= !is_certain;
+        if (this->host->store.is_away(this->host->ports.now())) {
+            this->submit_again(request);
+        } else {
+            this->submit_alone(request);
+        }
+    }
+
+    /// Without the leader. A write to a store that is silent leaves its outcome
+    /// unknown, and a caller that is told so may not come again. So a host that
+    /// has not heard the store lately reads first, which can be given up.
+    void submit_alone(submission_ptr const& request)
+    {
+        auto const now = this->host->ports.now();
+        if (request->may_have_run ||
+            this->host->store.has_answered_within(store_known, now)) {
+            this->submit_unless_slow(request);
+            return;
+        }
+        auto const is_over = std::make_shared<bool>(false);
+        this->host->ports.read(
+            tables::jobs, first_key(request->id), end_key(request->id),
+            this->bound([this, request, is_over,
+                         sent_at = now](rows_result const& result) {
+                this->host->note_store(result.status, sent_at);
+                if (!std::exchange(*is_over, true)) {
+                    this->on_probed(request, result.status);
+                }
+            }));
+        this->host->ports.after(
+            probe_limit, this->bound([this, request, is_over] {
+                if (!std::exchange(*is_over, true)) {
+                    this->submit_again(request);
+                }
+            }));
+    }
+
+    void on_probed(submission_ptr const& request, store_status status)
+    {
+        if (!request->callback) {
+            return; // its caller was refused meanwhile
+        }
+        if (status == store_status::done) {
+            this->submit_unless_slow(request);
+        } else {
+            this->submit_again(request);
+        }
+    }
+
+    /// A store that is slow carries out few changes a second, and those of the
+    /// leader, which hold the jobs of all hosts, wait behind all others. So no
+    /// host writes a job by itself then.
+    void submit_unless_slow(submission_ptr const& request)
+    {
+        auto const quick = this->host->options.electing.quick_read;
+        if (this->host->store.is_slower_than(quick)) {
+            this->submit_again(request);
+        } else {
+            this->submit_to_store(request);
+        }
+    }
+
+    void submit_to_store(submission_ptr const& request)
+    {
+        request->is_sent = true;
+        row_change change;
+        change.conditions = {
+            {tables::jobs, submission_key(request->id), 0},
+            {tables::ended, request->id, 0}};
+        change.puts.push_back(
+            {.table = tables::jobs,
+             .key = submission_key(request->id),
+             .value = request->value});
+        this->host->ports.change(
+            std::move(change),
+            this->bound([this, request, sent_at = this->host->ports.now()](
+                            change_result const& result) {
+                this->host->note_store(result.status, sent_at);
+                // In a conflict the job was accepted before.
+                this->on_submitted(
+                    request, result.status == store_status::conflict
+                                 ? store_status::done
+                                 : result.status);
+            }));
+    }
+
+    void submit_again(submission_ptr const& request)
+    {
+        if (!request->callback) {
+            return; // its caller was told that the outcome is unknown
+        }
+        if (!request->may_have_run) {
+            this->finish(*request, request_outcome::refused);
+            return;
+        }
+        if (this->host->ports.now() + retry_gap >= request->give_up_at) {
+            this->finish(*request, request_outcome::unknown);
+            return;
+        }
+        this->host->ports.after(retry_gap, this->bound([this, request] {
+            if (request->callback) {
+                this->try_submit(request);
+            }
+        }));
+    }
+
+    /// Does nothing if the caller has an answer.
+    void finish(submission& request, request_outcome outcome)
+    {
+        if (auto const callback = std::exchange(request.callback, {})) {
+            callback(outcome);
+        }
+    }
+
+    std::shared_ptr<host_state<Ports>> host;
+};
+
+} // namespace foxtaillift::jobs
--- /dev/null
+++ b/libs/jobs/src/leader_record.cpp
@@ -0,0 +1,81 @@
+#include "foxtaillift/jobs/leader_record.hpp"
+
+#include "foxtaillift/jobs/progress.hpp"
+#include "foxtaillift/jobs/worker_record.hpp"
+
+#include <utility>
+
+namespace foxtaillift::jobs
+{
+
+namespace
+{
+
+void put(row_change& change, char const* key, std::string value)
+{
+    change.puts.push_back(
+        {.table = tables::lead, .key = key, .value = std::move(value)});
+}
+
+void add_item(row_change& change, commit_batch::item const& item)
+{
+    if (!item.is_removal) {
+        change.puts.push_back(
+            {.table = tables::progress,
+             .key = item.job,
+             .value = encode(item.progress)});
+        return;
+    }
+    change.puts.push_back(
+        {.table = tables::ended,
+         .key = item.job,
+         .value = std::string{to_string(item.progress.state)}});
+    change.removals.push_back(
+        {.table = tables::jobs, .key = submission_key(item.job)});
+    change.removals.push_back({.table = tables::progress, .key = item.job});
+    if (item.progress.state == job_state::cancelled) {
+        change.removals.push_back(
+            {.table = tables::jobs, .key = cancellation_key(item.job)});
+    }
+}
+
+} // namespace
+
+row_change make_change(
+    leader_record const& record,
+    lead_rows const& conditions,
+    std::int64_t store_ms)
+{
+    row_change change;
+    change.conditions = {
+        {tables::lead, lead_keys::epoch, conditions.epoch_version},
+        {tables::lead, lead_keys::beat, conditions.beat_version}};
+    put(change, lead_keys::beat,
+        encode(leader_beat{.sequence = record.sequence, .store_ms = store_ms}));
+    if (!record.workers.empty()) {
+        std::vector<worker_info> workers;
+        workers.reserve(record.workers.size());
+        for (auto const& [id, worker] : record.workers) {
+            workers.push_back(worker);
+        }
+        put(change, lead_keys::workers, encode_workers(workers));
+    }
+    if (record.learned) {
+        put(change, lead_keys::learned, *record.learned);
+    }
+    if (record.silent) {
+        put(change, lead_keys::silent, encode_silent(*record.silent));
+    }
+    if (record.successor) {
+        put(change, lead_keys::epoch, encode(*record.successor));
+    }
+    for (auto const& item : record.jobs.items) {
+        add_item(change, item);
+    }
+    for (auto const& job : record.forgotten) {
+        change.removals.push_back({.table = tables::ended, .key = job});
+    }
+    return change;
+}
+
+} // namespace foxtaillift::jobs
--- a/libs/jobs/tests/simulated_world.cpp
+++ b/libs/jobs/tests/simulated_world.cpp
@@ -357,7 +357,7 @@
     }
     this->after(one_way, [this] {
         for (auto const& worker : this->world.workers) {
-            this->service->list_worker(
+            this->on_worker(
                 {.id = worker.id,
                  .address = worker.id,
                  .service = "s",
@@ -404,7 +404,7 @@
 void simulated_world::start_host(std::size_t index)
 {
     auto name = "h" + std::to_string(index);
-    auto ports = std::make_unique<simulated_ports>(*this, name);
+    auto host = std::make_unique<simulated_host>(*this, name);
     coordinator_options options;
     options.host = name;
     options.peer_address = name;
@@ -416,14 +416,18 @@
         size == this->sizes.end() ? usual_size : size->second;
     options.electing.stagger =
         base::milliseconds(static_cast<std::int64_t>(index) * 40);
-    ports->service = std::make_shared<coordinator<simulated_ports>>(
-        *ports, std::move(options));
+    host->service = std::make_shared<coordinator<simulated_ports>>(
+        *host, std::move(options));
+    host->on_worker = [service =
+                           host->service.get()](worker_info const& worker) {
+        service->list_worker(worker);
+    };
     fleet_configuration fleet{.version = 1};
     fleet.routes.push_back(
         {.target = {.name = "q", .service = "s", .max_attempts = 3}});
-    ports->service->set_fleet(std::move(fleet));
-    ports->service->start();
-    this->hosts[index] = std::move(ports);
+    host->service->set_fleet(std::move(fleet));
+    host->service->start();
+    this->hosts[index] = std::move(host);
 }
 
 void simulated_world::kill_host(std::size_t index)
--- a/libs/jobs/tests/simulated_world.hpp
+++ b/libs/jobs/tests/simulated_world.hpp
@@ -132,8 +132,8 @@
         std::function<void(std::optional<peer_reply>)> const& callback);
     void follow_workers(bool is_wanted);
 
-    std::shared_ptr<coordinator<simulated_ports>> service{};
     bool is_alive = true;
+    std::function<void(worker_info const&)> on_worker{};
 
 private:
     friend class simulated_world;
@@ -145,6 +145,13 @@
     std::string host;
 };
 
+struct simulated_host : simulated_ports
+{
+    using simulated_ports::simulated_ports;
+
+    std::shared_ptr<coordinator<simulated_ports>> service{};
+};
+
 class simulated_world
 {
 public:
@@ -165,7 +172,7 @@
     fault_rates faults;
     simulated_store store{};
     std::vector<simulated_worker> workers{};
-    std::vector<std::unique_ptr<simulated_ports>> hosts{};
+    std::vector<std::unique_ptr<simulated_host>> hosts{};
     /// Hosts whose calls to the store and to others, and from others, are lost.
     std::set<std::size_t> cut{};
     std::set<std::size_t> without_store{}; ///< hosts that it does not answer
@@ -198,7 +205,7 @@
 
     std::set<std::string> started{}; ///< jobs
     std::set<task_name> noted{};     ///< done, and acknowledged by a leader
-    std::vector<std::unique_ptr<simulated_ports>> ended_hosts{};
+    std::vector<std::unique_ptr<simulated_host>> ended_hosts{};
     std::map<std::string, resources> needs{}; ///< of a task, by job
 };
 
--- a/libs/jobs/tests/simulation_test.cpp
+++ b/libs/jobs/tests/simulation_test.cpp
@@ -107,7 +107,7 @@
 // started).
 TEST_CASE("a leader that stops under load resigns with its next write")
 {
-    simulated_world world{1, {}, {.job_rows_in_commit = 1}};
+    simulated_world world{1, {}, {.recording = {.job_rows_in_commit = 1}}};
     world.run_for(base::seconds(3));
     for (int i = 0; i < 40; ++i) {
         world.submit(0, "job" + std::to_string(i), 4);
