Keep the leases of an earlier leader on a worker that falls silent

It heard a worker by a look beside the one that was out, which carries no lease; the two looks after it were lost; then the worker counted as silent, its last lease by this leader as 0, and so its runs as lapsed, 0.3 s after the takeover. Their tasks started elsewhere while they ran.

Now a worker's first report sets the end of its leases to the longest that any leader can have given.

Ruled out: the record of silent workers, which names none of these; an early end of the recovery.

Before -> after: a new test fails -> pass.

--- a/libs/jobs/src/scheduler_reports.cpp
+++ b/libs/jobs/src/scheduler_reports.cpp
@@ -132,7 +132,11 @@
         worker.processed = 0;
         worker.acknowledged = 0;
         worker.unacknowledged.clear();
-        worker.leased_until_ms = 0;
+    }
+    if (is_born_again || !worker.is_heard) {
+        // What runs there may have the longest lease of an earlier leader.
+        worker.leased_until_ms =
+            report.clock_ms + this->options.longest_lease.ms;
     }
     worker.born_ms = report.born_ms;
     worker.is_heard = true;
--- a/libs/jobs/tests/silent_worker_test.cpp
+++ b/libs/jobs/tests/silent_worker_test.cpp
@@ -51,6 +51,39 @@
     CHECK_THROWS_AS(decode_silent("w1\n"), base::error);
 }
 
+// The pattern: a leader takes over while workers leave orders unanswered
+// (answer_lost; scale-2 --seed 525919343649 of the grown Directorate). Guards
+// against TWICE: a worker that was heard once and then fell silent, before it
+// got a lease of this leader, seemed to have no lease at all.
+TEST_CASE(
+    "runs of an earlier leader keep its lease on a worker that falls silent")
+{
+    fixture test{scheduler_options{.token = 2}, true};
+    test.add(one_task, {.count = 1, .need = {.processors = 1000}});
+    test.list("a");
+    test.list("b");
+    test.take<look_order>();
+    auto report = test.report();
+    report.running = {{.run = {{.job = one_task}, 1}, .percent = 5}};
+    test.answer("a", report);
+    test.answer("b", test.report());
+    REQUIRE(test.decisions.is_recovered(test.now));
+    auto const starts_while_silent = [&](std::int64_t span_ms) {
+        std::size_t count = 0;
+        for (std::int64_t t = 0; t < span_ms; t += 100) {
+            test.wait(100);
+            test.decisions.on_look(
+                "a", order_status::unknown, {}, test.now, test.now);
+            test.answer("b", test.report());
+            count += test.take<start_order>().size();
+        }
+        return count;
+    };
+    auto const lease_ms = scheduler_options{}.longest_lease.ms;
+    CHECK(starts_while_silent(lease_ms - 200) == 0);
+    CHECK(starts_while_silent(1000) == 1);
+}
+
 // Guards against a start on a worker whose record says that nothing more can
 // be there: a successor would start the same task elsewhere.
 TEST_CASE("a closed worker gets no start and no lease until it is opened")
--- a/libs/jobs/tests/simulated_world.cpp
+++ b/libs/jobs/tests/simulated_world.cpp
@@ -218,6 +218,7 @@
     look_order const& order,
     std::function<void(order_status, worker_report const&)> const& callback)
 {
+    bool const is_lost = this->world.happens(this->world.faults.lost);
     this->world.time.at(this->now() + one_way, [=, this] {
         auto* const worker = this->world.reach(order.worker);
         if (worker == nullptr) {
@@ -251,6 +252,11 @@
             report.running.push_back(
                 {.run = run.name, .percent = static_cast<int>(now / 50 % 100)});
         }
+        if (is_lost) {
+            this->after(
+                call_timeout, [=] { callback(order_status::unknown, {}); });
+            return;
+        }
         // The answer waits a little for an end, as a real one does.
         this->after(base::milliseconds(100), [=] {
             callback(order_status::done, report);
--- a/libs/jobs/tests/simulation_test.cpp
+++ b/libs/jobs/tests/simulation_test.cpp
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdlib>
 #include <optional>
+#include <vector>
 
 namespace base = foxtaillift::base;
 using namespace foxtaillift::jobs;
@@ -303,10 +304,19 @@
 {
     auto const first = number_of("FOXTAIL_FIRST_SEED", 1);
     auto const count = number_of("FOXTAIL_SCHEDULES", 200);
-    std::size_t accepted = 0;
+    // Seeds that failed once: a task ran twice since the leases of an earlier
+    // leader were taken as over on a worker that fell silent.
+    std::vector<std::uint32_t> seeds{2715};
     for (std::uint32_t seed = first; seed < first + count; ++seed) {
+        seeds.push_back(seed);
+    }
+    std::size_t accepted = 0;
+    for (auto const seed : seeds) {
         CAPTURE(seed);
-        simulated_world world{seed, {.lost = 0.05, .late = 0.03}};
+        // A half has the share of lost answers that makes series of them
+        // likely.
+        double const lost = seed % 2 == 0 ? 0.05 : 0.3;
+        simulated_world world{seed, {.lost = lost, .late = 0.03}};
         world.run_for(base::seconds(2));
         play(world);
         for (auto const& violation : world.violations) {
