Submit and cancel jobs through the product's own interface

Any entry host takes POST /v1/jobs and DELETE /v1/jobs/ID on its internal port, in the project's words (job_text), and answers whether it is durable, certainly refused or in doubt. foxtailctl has job submit and job cancel. A malformed job is refused by the name of the member.

Ruled out: a queue of its own for operators' jobs; they compete with those of callers by the queue that they name.

Tests: any host, repetition, outage and bad input on virtual time; foxtailctl against a running process.

--- a/libs/client/src/command_line.cpp
+++ b/libs/client/src/command_line.cpp
@@ -111,6 +111,18 @@
     on_chosen(show, values, [&values](auto const& use) {
         return show_job(use, values.name);
     });
+    auto* const submit = group->add_subcommand(
+        "submit", "Submit the job that a JSON file declares");
+    submit->add_option("FILE", values.path, "See docs/operator-interface.md")
+        ->required();
+    on_chosen(submit, values, [&values](auto const& use) {
+        return submit_job(use, values.path);
+    });
+    auto* const cancel = group->add_subcommand("cancel", "Cancel one job");
+    cancel->add_option("ID", values.name, "Identifier of the job")->required();
+    on_chosen(cancel, values, [&values](auto const& use) {
+        return cancel_job(use, values.name);
+    });
 }
 
 /// drain, quarantine and release are overrides of `worker.state`.
--- a/libs/client/src/commands.cpp
+++ b/libs/client/src/commands.cpp
@@ -188,6 +188,40 @@
     return exit_code::done;
 }
 
+namespace
+{
+
+/// What became of a job, in the words of the entry host.
+exit_code report_job(session const& use, answer const& received)
+{
+    use.out << (use.format == output_format::json
+                    ? received.body.dump(2)
+                    : received.body.value("outcome", "") + " " +
+                          received.body.value("job", ""))
+            << "\n";
+    return exit_code::done;
+}
+
+} // namespace
+
+exit_code submit_job(session const& use, std::string const& path)
+{
+    auto const received = use.link.post("/v1/jobs", read_json_file(path));
+    if (!received.is_done()) {
+        return report_refusal(use, received);
+    }
+    return report_job(use, received);
+}
+
+exit_code cancel_job(session const& use, std::string const& id)
+{
+    auto const received = use.link.remove("/v1/jobs/" + id);
+    if (!received.is_done()) {
+        return report_refusal(use, received);
+    }
+    return report_job(use, received);
+}
+
 exit_code
 apply_file(session const& use, std::string const& path, change_options options)
 {
--- a/libs/client/src/commands.hpp
+++ b/libs/client/src/commands.hpp
@@ -34,6 +34,9 @@
 
 exit_code submit_task(session const& use, std::string const& path);
 exit_code cancel_task(session const& use, std::string const& name);
+/// Submits the job that a JSON file with comments declares.
+exit_code submit_job(session const& use, std::string const& path);
+exit_code cancel_job(session const& use, std::string const& id);
 exit_code
 apply_file(session const& use, std::string const& path, change_options options);
 exit_code set_default(
--- /dev/null
+++ b/libs/jobs/include/foxtaillift/jobs/job_text.hpp
@@ -0,0 +1,16 @@
+/// Jobs as operators write them: JSON in this project's words.
+#pragma once
+
+#include "foxtaillift/jobs/job.hpp"
+
+#include <string_view>
+
+namespace foxtaillift::jobs
+{
+
+/// Reads a job of docs/operator-interface.md and checks it. Throws base::error
+/// (invalid_argument) that names the first member that is missing, unknown or
+/// of the wrong type, or the first problem of the job.
+job_spec decode_job_text(std::string_view text);
+
+} // namespace foxtaillift::jobs
--- a/libs/jobs/include/foxtaillift/jobs/views.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/views.hpp
@@ -47,6 +47,13 @@
     std::string body{};
 };
 
+/// A request that was carried out: the job and what became of it.
+operator_answer make_job_answer(std::string_view job, std::string_view outcome);
+
+/// `error` is a word for programs, `message` a sentence for people.
+operator_answer
+make_refusal(int status, std::string_view error, std::string_view message);
+
 /// Answers a read of `/v1/status`, `/v1/jobs`, `/v1/jobs/ID` or `/v1/workers`.
 /// `decisions` is null unless the host leads.
 operator_answer answer_operator_read(
--- a/libs/jobs/src/views.cpp
+++ b/libs/jobs/src/views.cpp
@@ -225,6 +225,18 @@
     return view.dump();
 }
 
+operator_answer make_job_answer(std::string_view job, std::string_view outcome)
+{
+    constexpr int success = 200;
+    return {success, json{{"job", job}, {"outcome", outcome}}.dump()};
+}
+
+operator_answer
+make_refusal(int status, std::string_view error, std::string_view message)
+{
+    return {status, json{{"error", error}, {"message", message}}.dump()};
+}
+
 operator_answer answer_operator_read(
     std::string_view path,
     host_view const& host,
@@ -267,10 +279,7 @@
                 json{{"job", id}, {"state", to_string(*state)}}.dump()};
         }
     }
-    return {
-        not_found,
-        json{{"error", "not_found"}, {"message", "there is no such thing"}}
-            .dump()};
+    return make_refusal(not_found, "not_found", "there is no such thing");
 }
 
 } // namespace foxtaillift::jobs
