Refuse submissions after half a second of a silent store

A submission waited for the limit of the leader's write (1 s), and then its host looked for the store by itself for 0.5 s, though it writes only if the store answers within 0.15 s.

Now a leader refuses what waits, and what comes, once two copies of its write have no answer, and a host looks for 0.15 s.

Ruled out: after the first copy; one lost answer in three is a kind of trouble of its own.

--- a/libs/jobs/include/foxtaillift/jobs/copied_write.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/copied_write.hpp
@@ -30,6 +30,8 @@
             on_answer{};
         /// A copy has failed; others follow.
         std::function<void()> on_failed{};
+        /// The store has answered neither of two copies in the usual time.
+        std::function<void()> on_silent{};
     };
 
     copied_write(Ports& ports_to_use, handlers callbacks)
@@ -45,6 +47,7 @@
         this->is_sent = true;
         this->has_copy_failed = false;
         this->may_have_been_done = false;
+        this->copies_sent = 0;
         ++this->number;
         this->send();
     }
@@ -53,6 +56,7 @@
     void send()
     {
         ++this->copies_out;
+        ++this->copies_sent;
         auto const sent_at = this->ports.now();
         this->ports.change(
             this->owner.make(),
@@ -85,6 +89,11 @@
     [[nodiscard]] bool is_out() const { return this->is_sent; }
     /// At least one copy of the change that is out.
     [[nodiscard]] bool has_failed() const { return this->has_copy_failed; }
+    /// The store has answered neither of two copies of it in the usual time.
+    [[nodiscard]] bool is_silent() const
+    {
+        return this->is_sent && this->copies_sent > silent_copies;
+    }
     /// No copy that was sent so far can be carried out any more.
     [[nodiscard]] bool is_certainly_not_done() const
     {
@@ -101,6 +110,8 @@
     /// The store answers within some 10 ms, and 60 to 70 times slower when it
     /// is slow.
     static constexpr base::duration slow_write = base::milliseconds(150);
+    /// One lost answer is not unusual, a series of them is.
+    static constexpr std::size_t silent_copies = 2;
     /// Each copy that is out holds a connection, of eight.
     static constexpr std::size_t copies_limit = 4;
 
@@ -128,6 +139,15 @@
         this->send_after(failed_gap);
     }
 
+    void send_again()
+    {
+        bool const was_silent = this->is_silent();
+        this->send();
+        if (!was_silent && this->is_silent()) {
+            this->owner.on_silent();
+        }
+    }
+
     void send_after(base::duration gap)
     {
         this->ports.after(
@@ -136,7 +156,7 @@
                                     due == self->timer &&
                                     self->copies_out < copies_limit;
                 if (is_due) {
-                    self->send();
+                    self->send_again();
                 }
             });
     }
@@ -146,7 +166,8 @@
     std::uint64_t number = 0; ///< of the change
     std::uint64_t timer = 0;  ///< of the copy that is due
     std::size_t copies_out = 0;
-    base::duration took{}; ///< of the last copy that was answered
+    std::size_t copies_sent = 0; ///< of the change
+    base::duration took{};       ///< of the last copy that was answered
     bool is_sent = false;
     bool has_copy_failed = false;
     bool may_have_been_done = false;
--- a/libs/jobs/include/foxtaillift/jobs/record_writer.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/record_writer.hpp
@@ -89,7 +89,8 @@
                           change_result const& result, base::instant sent_at) {
                           this->on_answer(result, sent_at);
                       },
-                  .on_failed = [this] { this->on_failed(); }}))
+                  .on_failed = [this] { this->on_failed(); },
+                  .on_silent = [this] { this->submissions.refuse_waiting(); }}))
     {}
 
     // Commands
@@ -109,8 +110,9 @@
     {
         // A caller who comes again while the write that holds his job is out
         // must not hear that the job certainly does not run.
-        bool const is_refused = this->write->has_failed() &&
-                                !this->submissions.is_taken(wanted.job);
+        bool const is_refused =
+            (this->write->has_failed() || this->write->is_silent()) &&
+            !this->submissions.is_taken(wanted.job);
         if (this->is_resigning || this->is_stopped || is_refused) {
             wanted.callback(store_status::not_done);
             return;
--- a/libs/jobs/include/foxtaillift/jobs/submitter.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/submitter.hpp
@@ -63,9 +63,6 @@
     static constexpr base::duration retry_gap = base::milliseconds(150);
     /// A host that has heard the store this recently writes at once.
     static constexpr base::duration store_known = base::milliseconds(500);
-    /// A store that answers a read no sooner counts as silent: it takes 4 ms,
-    /// or up to 70 times as long while it is slow.
-    static constexpr base::duration probe_limit = base::milliseconds(500);
 
     template <class Function>
     auto bound(Function function)
@@ -190,8 +187,10 @@
                     this->on_probed(request, result.status);
                 }
             }));
+        // A store that answers later is too slow for a write of this host.
         this->host->ports.after(
-            probe_limit, this->bound([this, request, is_over] {
+            this->host->options.electing.quick_read,
+            this->bound([this, request, is_over] {
                 if (!std::exchange(*is_over, true)) {
                     this->submit_again(request);
                 }
--- a/libs/jobs/tests/simulated_world.cpp
+++ b/libs/jobs/tests/simulated_world.cpp
@@ -473,11 +473,14 @@
     job.steps.push_back({.count = 1, .need = need, .depends_on = {0}});
     this->needs[id] = need;
     this->hosts[host]->service->submit(
-        job, base::seconds(3), [this, id](request_outcome outcome) {
+        job, base::seconds(3),
+        [this, id, asked_at = this->time.now](request_outcome outcome) {
             if (outcome == request_outcome::accepted) {
                 this->accepted.insert(id);
             } else if (outcome == request_outcome::refused) {
                 this->refused.insert(id);
+                this->longest_refusal =
+                    std::max(this->longest_refusal, this->time.now - asked_at);
                 if (this->started.contains(id)) {
                     this->violations.push_back(id + " runs and was refused");
                 }
--- a/libs/jobs/tests/simulated_world.hpp
+++ b/libs/jobs/tests/simulated_world.hpp
@@ -181,6 +181,7 @@
     std::set<std::string> accepted{};
     std::set<std::string> refused{};  ///< told that the job never runs
     std::size_t unknown_outcomes = 0; ///< of submissions
+    base::duration longest_refusal{}; ///< until a caller was told
     leader_options leading;
 
 private:
--- a/libs/jobs/tests/simulation_test.cpp
+++ b/libs/jobs/tests/simulation_test.cpp
@@ -232,6 +232,11 @@
     world.run_for(base::seconds(3));
     // The write that was out when the store fell silent holds one or two.
     CHECK(world.unknown_outcomes <= 2);
+    // Two copies of that write, and a look by the host itself.
+    constexpr std::int64_t copies_ms = 2 * 250;
+    constexpr std::int64_t own_look_ms = 150;
+    constexpr std::int64_t way_ms = 100;
+    CHECK(world.longest_refusal.ms <= copies_ms + own_look_ms + way_ms);
     CHECK(world.refused.size() + world.accepted.size() >= jobs - 2);
     world.run_for(base::seconds(60));
     CHECK(world.unfinished().empty());
