--- a/libs/jobs/src/election.cpp
+++ b/libs/jobs/src/election.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <memory>
 #include <system_error>
 
 namespace foxtaillift::jobs
@@ -58,8 +59,9 @@
 leader_beat decode_beat(std::string_view text)
 {
     leader_beat beat;
-    auto const* const end = text.data() + text.size();
-    auto const sequence = std::from_chars(text.data(), end, beat.sequence);
+    auto const* const begin = std::to_address(text.begin());
+    auto const* const end = std::to_address(text.end());
+    auto const sequence = std::from_chars(begin, end, beat.sequence);
     bool const is_sequence_read = sequence.ec == std::errc{} &&
                                   sequence.ptr != end && *sequence.ptr == ' ';
     if (is_sequence_read) {
