Release a leader with what it holds when it is given up

No leader was ever destroyed: each takeover left the jobs, workers and learned values of a leadership in the memory of a host.

Ruled out: the record writer, whose callbacks hold plain pointers; the follower of jobs, held weakly before; the callbacks of a resignation, which are released when it is over. With the loader's callback alone changed no leak is left.

Now the callback holds the leader weakly, as that of the follower does.

Before -> after: the new test finds the leader alive 40 s after it was given up, in both cases -> released.

--- a/libs/jobs/include/foxtaillift/jobs/leader.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/leader.hpp
@@ -90,9 +90,14 @@
     {
         this->decisions.begin_recovery(this->ports.now());
         this->loader = std::make_shared<inherited_state_loader<Ports>>(
-            this->ports, this->guarded([this](inherited_state const& state) {
-                this->take_over(state);
-            }));
+            this->ports,
+            // Held weakly: the leader owns the loader.
+            [weak = this->weak_from_this()](inherited_state const& state) {
+                auto const self = weak.lock();
+                if (self && !self->is_stopped) {
+                    self->take_over(state);
+                }
+            });
         this->loader->start();
     }
 
--- a/libs/jobs/tests/simulation_test.cpp
+++ b/libs/jobs/tests/simulation_test.cpp
@@ -4,11 +4,14 @@
 
 #include <cstddef>
 #include <cstdlib>
+#include <memory>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace base = foxtaillift::base;
 using namespace foxtaillift::jobs;
+using foxtaillift::jobs::testing::simulated_ports;
 using foxtaillift::jobs::testing::simulated_world;
 
 namespace
@@ -302,6 +305,34 @@
     CHECK_FALSE(count.has_value());
 }
 
+// Guards against leaders that stay in memory after their leadership: hosts with
+// 160 MB change leaders many times a day.
+TEST_CASE("a leader that is given up is released with all that it holds")
+{
+    simulated_world world{1, {}};
+    auto const owner = std::make_shared<int>();
+    std::weak_ptr<int> const is_held = owner;
+    auto led = std::make_shared<leader<simulated_ports>>(
+        *world.hosts[0], leader_options{}, lead_rows{},
+        [owner = owner](std::string const&) {});
+    led->start();
+    SUBCASE("before it has read what lasts")
+    {
+        led->stop();
+    }
+    SUBCASE("after that")
+    {
+        world.run_for(base::seconds(2));
+        CHECK(led->is_loaded());
+        led->stop();
+    }
+    std::weak_ptr<leader<simulated_ports>> const released = led;
+    led.reset();
+    world.run_for(base::seconds(40)); // timers and reads that were out
+    CHECK(released.expired());
+    CHECK(is_held.use_count() == 1); // the test's own
+}
+
 // Guards against a task that runs twice, a worker over its capacity and
 // accepted jobs that are lost, whatever fails at once: owners, store, workers,
 // answers.
