Keep every write of a leader within the limits of the store

Cause: the names of all workers lay in one row. 2,000 workers take about 100 KB, the store holds 64 KB in a row and refuses a change with more as a whole, so that a leader of a large fleet could name no worker and write nothing. A burst of large submissions or of jobs with much progress was refused in the same way, over and over, since one write took up to 80 rows whatever their size.

Now the workers are named in pages of 200, of which a record changes at most four; a write holds at most 256 KB of submissions and as much of progress; a job whose rows would not fit is refused when it comes: over 60 KB, or over 2,500 tasks at once, whose progress fits in one row while all of them have failed.

Ruled out: shorter names of workers, which moves the limit; a row for each worker, which takes one entry of the hundred in a transaction each.

--- a/libs/jobs/include/foxtaillift/jobs/candidate.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/candidate.hpp
@@ -217,7 +217,7 @@
         this->is_busy = true;
         auto const sent_at = this->host->ports.now();
         this->host->ports.read(
-            tables::lead, "", lead_keys::workers,
+            tables::lead, "", lead_keys::inherited,
             this->bound([this, sent_at](rows_result const& result) {
                 this->is_busy = false;
                 this->on_lead_read(result, sent_at);
--- a/libs/jobs/include/foxtaillift/jobs/inherited_state.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/inherited_state.hpp
@@ -10,6 +10,7 @@
 #include "foxtaillift/jobs/rows.hpp"
 #include "foxtaillift/jobs/worker.hpp"
 #include "foxtaillift/jobs/worker_record.hpp"
+#include "foxtaillift/jobs/worker_roster.hpp"
 
 #include <functional>
 #include <map>
@@ -24,7 +25,7 @@
 /// Everything but the jobs themselves, which the leader goes on following.
 struct inherited_state
 {
-    std::vector<worker_info> workers{}; ///< that may have runs
+    std::vector<roster_page> workers{}; ///< that may have runs
     std::vector<silent_worker> silent{};
     std::string learned{}; ///< for scheduler::take_learned(); may be empty
     std::map<std::string, job_progress> progress{};         ///< by job
@@ -56,7 +57,7 @@
         , done(std::move(on_loaded))
     {}
 
-    void start() { this->load_workers(); }
+    void start() { this->load_lead(lead_keys::inherited); }
 
     /// Nothing is called back any more.
     void stop() { this->is_stopped = true; }
@@ -86,22 +87,25 @@
             });
     }
 
-    void load_workers()
+    void load_lead(std::string const& from)
     {
-        this->read(
-            tables::lead, lead_keys::workers,
-            [this](rows_result const& result) {
-                for (auto const& row : result.rows) {
-                    this->take_lead_row(row);
-                }
+        this->read(tables::lead, from, [this](rows_result const& result) {
+            for (auto const& row : result.rows) {
+                this->take_lead_row(row);
+            }
+            if (result.has_more && !result.rows.empty()) {
+                this->load_lead(result.rows.back().key + '\0');
+            } else {
                 this->load_progress("");
-            });
+            }
+        });
     }
 
     void take_lead_row(row const& row)
     {
-        if (row.key == lead_keys::workers) {
-            this->state.workers = decode_workers(row.value);
+        if (auto const page = parse_roster_key(row.key)) {
+            this->state.workers.push_back(
+                {.number = *page, .workers = decode_workers(row.value)});
         } else if (row.key == lead_keys::learned) {
             this->state.learned = row.value;
         } else if (row.key == lead_keys::silent) {
--- a/libs/jobs/include/foxtaillift/jobs/leader.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/leader.hpp
@@ -214,14 +214,8 @@
     void take_over(inherited_state const& state)
     {
         auto const now = this->ports.now();
-        this->roster.recall(state.workers);
-        for (auto const& worker : state.workers) {
-            auto const found = this->roster.listed().find(worker.id);
-            if (found == this->roster.listed().end()) {
-                this->decisions.recall_worker(worker, now);
-            } else {
-                this->decisions.list_worker(found->second, now);
-            }
+        for (auto const& page : state.workers) {
+            this->recall(page, now);
         }
         this->take_learned(state.learned);
         this->decisions.take_silent(state.silent, now);
@@ -233,6 +227,19 @@
         this->follow_jobs();
     }
 
+    void recall(roster_page const& page, base::instant now)
+    {
+        this->roster.recall(page);
+        for (auto const& worker : page.workers) {
+            auto const found = this->roster.listed().find(worker.id);
+            if (found == this->roster.listed().end()) {
+                this->decisions.recall_worker(worker, now);
+            } else {
+                this->decisions.list_worker(found->second, now);
+            }
+        }
+    }
+
     void take_learned(std::string const& text)
     {
         if (text.empty()) {
--- a/libs/jobs/include/foxtaillift/jobs/leader_record.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/leader_record.hpp
@@ -19,7 +19,7 @@
 {
     std::uint64_t sequence = 0; ///< of writes in this leadership
     commit_batch jobs{};
-    worker_roster::worker_map workers{};   ///< empty: those named before
+    std::vector<roster_page> workers{};    ///< pages that change
     std::optional<std::string> learned{};  ///< see scheduler::learned()
     std::vector<std::string> forgotten{};  ///< jobs whose state can go
     std::optional<leadership> successor{}; ///< gives the leadership up
--- a/libs/jobs/include/foxtaillift/jobs/progress.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/progress.hpp
@@ -29,6 +29,9 @@
     std::vector<task_progress> tasks{};
 };
 
+/// At least the size of its encoding.
+std::size_t size_bound(job_progress const& progress);
+
 /// Encodings of the store's rows (MessagePack). Decoding throws base::error
 /// (corrupt_data) if the text is none of them.
 std::string encode(job_spec const& job);
--- a/libs/jobs/include/foxtaillift/jobs/record_writer.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/record_writer.hpp
@@ -38,8 +38,9 @@
     /// rest within seconds.
     base::duration learned_interval = base::milliseconds(3000);
     /// Rows of jobs in one write, of the 100 entries that the store's
-    /// transactions hold; eight go to the leader's own rows, ten to
-    /// `ended_in_commit`. Submissions take up to three quarters of them.
+    /// transactions hold; ten go to the leader's own rows (two conditions, four
+    /// rows, the pages of the roster), ten to `ended_in_commit`. Submissions
+    /// take up to three quarters of them.
     std::size_t job_rows_in_commit = 80;
     /// How long the state of a job that is over can be asked for, and how many
     /// of the older ones one write removes.
@@ -408,13 +409,21 @@
                 this->ended.emplace_back(sent_at, item.job);
             }
         }
-        if (this->record.workers.empty()) {
-            return;
-        }
+        this->note_named();
+    }
+
+    /// Workers that are durably named can be used.
+    void note_named()
+    {
         this->roster.on_recorded(this->record.workers);
-        for (auto const& [id, worker] : this->roster.listed()) {
-            if (this->roster.is_recorded(id)) {
-                this->decisions.list_worker(worker, this->ports.now());
+        auto const& listed = this->roster.listed();
+        for (auto const& page : this->record.workers) {
+            for (auto const& worker : page.workers) {
+                auto const found = listed.find(worker.id);
+                if (found != listed.end()) {
+                    this->decisions.list_worker(
+                        found->second, this->ports.now());
+                }
             }
         }
     }
--- a/libs/jobs/include/foxtaillift/jobs/rows.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/rows.hpp
@@ -2,7 +2,9 @@
 /// that it keeps there.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -19,6 +21,14 @@
     bool is_removed = false;
 };
 
+/// Of a row's value, in bytes. The store holds 64 KB and refuses a change with
+/// more as a whole.
+inline constexpr std::size_t longest_value = 60UL * 1024;
+
+/// Of all values of one kind in a change. The store takes 1 MB in a call, as
+/// base64, for submissions, progress and the leader's own rows.
+inline constexpr std::size_t longest_values = 256UL * 1024;
+
 /// A row must have this version; 0: it must not exist.
 struct row_condition
 {
@@ -73,15 +83,23 @@
 
 namespace lead_keys
 {
-inline constexpr char epoch[] = "epoch";     ///< changes with each takeover
-inline constexpr char beat[] = "beat";       ///< changes with each commit
-inline constexpr char workers[] = "workers"; ///< workers that may run tasks
-/// What a successor need not learn anew; read together with the workers.
+inline constexpr char epoch[] = "epoch"; ///< changes with each takeover
+inline constexpr char beat[] = "beat";   ///< changes with each commit
+/// What a successor reads; not among the rows of an election.
+inline constexpr char inherited[] = "workers";
+/// What a successor need not learn anew.
 inline constexpr char learned[] = "workers.learned";
-/// Workers that do not answer, with what may run there; read with the workers.
+/// Workers that may run tasks; followed by the number of a page.
+inline constexpr char roster[] = "workers.named.";
+/// Workers that do not answer, with what may run there.
 inline constexpr char silent[] = "workers.silent";
 } // namespace lead_keys
 
+/// The key of a page of the workers that may run tasks.
+std::string roster_key(std::size_t page);
+/// The number of the page; nothing for other keys.
+std::optional<std::size_t> parse_roster_key(std::string_view key);
+
 /// Keys of the table `jobs`. Identifiers hold no '.'.
 std::string submission_key(std::string_view job);
 std::string cancellation_key(std::string_view job);
--- a/libs/jobs/include/foxtaillift/jobs/submission_batch.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/submission_batch.hpp
@@ -40,7 +40,8 @@
     [[nodiscard]] bool is_taken(std::string_view job) const;
     [[nodiscard]] bool is_waiting() const { return !this->waiting.empty(); }
 
-    /// Chooses the submissions of the next write.
+    /// Chooses the submissions of the next write, at most `limit` and as many
+    /// as `longest_values` allows.
     void take(std::size_t limit);
     /// Adds the chosen ones to the change that is sent.
     void add_to(row_change& change) const;
--- a/libs/jobs/src/job.cpp
+++ b/libs/jobs/src/job.cpp
@@ -1,6 +1,8 @@
 #include "foxtaillift/jobs/job.hpp"
 
 #include "foxtaillift/base/error.hpp"
+#include "foxtaillift/jobs/progress.hpp"
+#include "foxtaillift/jobs/rows.hpp"
 
 #include <array>
 #include <charconv>
@@ -15,6 +17,10 @@
 constexpr std::uint64_t tasks_limit = 20'000;
 constexpr std::size_t steps_limit = 256;
 
+/// Tasks of one occurrence. The progress of a job fits in one row while all of
+/// them have failed and have checkpoints, some 24 bytes each.
+constexpr std::uint64_t tasks_at_once_limit = 2'500;
+
 [[noreturn]] void refuse(std::size_t step, std::string const& problem)
 {
     throw base::error{
@@ -78,11 +84,23 @@
         check_step(job.steps[number], number);
         tasks += job.steps[number].count;
     }
+    if (tasks > tasks_at_once_limit) {
+        throw base::error{
+            base::error_code::invalid_argument,
+            "the job has more than " + std::to_string(tasks_at_once_limit) +
+                " tasks" + (job.occurrences() > 1 ? " at once" : "")};
+    }
     if (tasks * job.occurrences() > tasks_limit) {
         throw base::error{
             base::error_code::invalid_argument,
             "the job has more than " + std::to_string(tasks_limit) + " tasks"};
     }
+    if (encode(job).size() > longest_value) {
+        throw base::error{
+            base::error_code::invalid_argument,
+            "the job takes more than " + std::to_string(longest_value) +
+                " bytes"};
+    }
 }
 
 std::string to_string(task_name const& task)
--- a/libs/jobs/src/leader_record.cpp
+++ b/libs/jobs/src/leader_record.cpp
@@ -11,10 +11,12 @@
 namespace
 {
 
-void put(row_change& change, char const* key, std::string value)
+void put(row_change& change, std::string key, std::string value)
 {
     change.puts.push_back(
-        {.table = tables::lead, .key = key, .value = std::move(value)});
+        {.table = tables::lead,
+         .key = std::move(key),
+         .value = std::move(value)});
 }
 
 void add_item(row_change& change, commit_batch::item const& item)
@@ -52,13 +54,13 @@
         {tables::lead, lead_keys::beat, conditions.beat_version}};
     put(change, lead_keys::beat,
         encode(leader_beat{.sequence = record.sequence, .store_ms = store_ms}));
-    if (!record.workers.empty()) {
-        std::vector<worker_info> workers;
-        workers.reserve(record.workers.size());
-        for (auto const& [id, worker] : record.workers) {
-            workers.push_back(worker);
+    for (auto const& page : record.workers) {
+        if (page.workers.empty()) {
+            change.removals.push_back(
+                {.table = tables::lead, .key = roster_key(page.number)});
+        } else {
+            put(change, roster_key(page.number), encode_workers(page.workers));
         }
-        put(change, lead_keys::workers, encode_workers(workers));
     }
     if (record.learned) {
         put(change, lead_keys::learned, *record.learned);
--- a/libs/jobs/src/progress.cpp
+++ b/libs/jobs/src/progress.cpp
@@ -138,6 +138,19 @@
     return pack(object);
 }
 
+std::size_t size_bound(job_progress const& progress)
+{
+    // Names of the fields, and the longest encodings of numbers and lengths.
+    constexpr std::size_t frame = 32;
+    constexpr std::size_t number = 5;
+    std::size_t size = frame + progress.done.size() / bits_per_byte;
+    for (auto const& task : progress.tasks) {
+        size += 1 + 4 * number + task.failed_attempts.size() * number +
+                task.checkpoint.size();
+    }
+    return size;
+}
+
 job_progress decode_progress(std::string_view text)
 {
     return unpack(text, "a job's progress", [](json const& object) {
--- a/libs/jobs/src/rows.cpp
+++ b/libs/jobs/src/rows.cpp
@@ -1,5 +1,7 @@
 #include "foxtaillift/jobs/rows.hpp"
 
+#include <charconv>
+
 namespace foxtaillift::jobs
 {
 
@@ -9,6 +11,9 @@
 constexpr std::string_view submission_suffix = ".accepted";
 constexpr std::string_view cancellation_suffix = ".cancelled";
 
+/// Of a page of the roster; bounds memory if another wrote the key.
+constexpr std::size_t page_limit = 1000;
+
 } // namespace
 
 std::string_view to_string(store_status status)
@@ -28,6 +33,28 @@
     return "unknown";
 }
 
+std::string roster_key(std::size_t page)
+{
+    return lead_keys::roster + std::to_string(page);
+}
+
+std::optional<std::size_t> parse_roster_key(std::string_view key)
+{
+    std::string_view const prefix = lead_keys::roster;
+    if (!key.starts_with(prefix)) {
+        return std::nullopt;
+    }
+    auto const digits = key.substr(prefix.size());
+    std::size_t page = 0;
+    auto const [end, failure] =
+        std::from_chars(digits.data(), digits.data() + digits.size(), page);
+    if (failure != std::errc{} || end != digits.data() + digits.size() ||
+        page >= page_limit) {
+        return std::nullopt;
+    }
+    return page;
+}
+
 std::string submission_key(std::string_view job)
 {
     return std::string{job}.append(submission_suffix);
--- a/libs/jobs/src/scheduler_jobs.cpp
+++ b/libs/jobs/src/scheduler_jobs.cpp
@@ -1,3 +1,6 @@
+#include "foxtaillift/jobs/progress.hpp"
+#include "foxtaillift/jobs/rows.hpp"
+
 #include "scheduler_core.hpp"
 
 #include <algorithm>
@@ -324,21 +327,25 @@
     }
     std::size_t taken = 0;
     std::size_t rows = 0;
+    std::size_t bytes = 0;
     for (; taken < this->dirty.size(); ++taken) {
         auto* const job = this->find_job(this->dirty[taken]);
         if (job == nullptr) {
             continue;
         }
         bool const is_removal = this->is_removable(*job);
+        auto progress = job->progress();
         rows += is_removal ? commit_batch::rows_of_removal : 1;
-        if (rows > row_limit && !batch.items.empty()) {
+        bytes += is_removal ? 0 : size_bound(progress);
+        if ((rows > row_limit || bytes > longest_values) &&
+            !batch.items.empty()) {
             break; // but one job is always written
         }
         job->is_dirty = false;
         job->is_committing = true;
         batch.items.push_back(
             {.job = job->spec.id,
-             .progress = job->progress(),
+             .progress = std::move(progress),
              .is_removal = is_removal});
     }
     this->dirty.erase(
--- a/libs/jobs/src/scheduler_silence.cpp
+++ b/libs/jobs/src/scheduler_silence.cpp
@@ -1,6 +1,8 @@
 /// The record of workers that do not answer. A successor cannot ask them what
 /// runs there, and without a record no task of an earlier leader could start
 /// until every lease that this leader may have granted has run out.
+#include "foxtaillift/jobs/rows.hpp"
+
 #include "scheduler_core.hpp"
 
 #include <algorithm>
@@ -12,9 +14,9 @@
 namespace
 {
 
-/// Runs in a record: some 30 bytes each, and a row holds 64 KiB. Workers beyond
-/// it are left out, and a successor waits for them.
-constexpr std::size_t recorded_runs_limit = 1500;
+/// Workers and runs in a record, some 30 bytes each and 40 at most. Workers
+/// beyond it are left out, and a successor waits for them.
+constexpr std::size_t recorded_limit = longest_value / 40;
 
 /// A run whose end is not durable counts too: a successor that did not know of
 /// it would start the task again while the worker still lists it as done.
@@ -43,7 +45,7 @@
 scheduler::implementation::close_silent_workers(base::instant now)
 {
     std::vector<silent_worker> record;
-    std::size_t recorded_runs = 0;
+    std::size_t recorded = 0;
     for (std::size_t i = 0; i < this->workers.size(); ++i) {
         auto& worker = this->workers[i];
         bool const is_silent = worker.silent_looks > 0 || !worker.is_heard;
@@ -52,10 +54,10 @@
             continue;
         }
         auto runs = possible_runs(worker);
-        if (recorded_runs + runs.size() > recorded_runs_limit) {
+        if (recorded + 1 + runs.size() > recorded_limit) {
             continue;
         }
-        recorded_runs += runs.size();
+        recorded += 1 + runs.size();
         if (!std::exchange(worker.is_closed, true)) {
             this->log(base::event_line{"worker_closed"}
                           .add("worker", worker.info.id)
--- a/libs/jobs/src/submission_batch.cpp
+++ b/libs/jobs/src/submission_batch.cpp
@@ -42,7 +42,15 @@
 
 void submission_batch::take(std::size_t limit)
 {
+    std::size_t bytes = 0;
+    for (auto const& each : this->taken) {
+        bytes += each.value.size();
+    }
     while (!this->waiting.empty() && this->taken.size() < limit) {
+        bytes += this->waiting.front().value.size();
+        if (bytes > longest_values && !this->taken.empty()) {
+            return; // but one submission is always written
+        }
         this->taken.push_back(std::move(this->waiting.front()));
         this->waiting.pop_front();
     }
--- a/libs/jobs/tests/job_test.cpp
+++ b/libs/jobs/tests/job_test.cpp
@@ -65,6 +65,40 @@
     CHECK_THROWS_AS(check(job), base::error);
 }
 
+// Guards against jobs that are accepted and whose rows the store refuses, with
+// all else that the leader writes.
+TEST_CASE("jobs whose rows would be too large are refused")
+{
+    auto job = two_steps();
+    job.payload.assign(longest_value, 'x');
+    CHECK_THROWS_WITH_AS(
+        check(job), "the job takes more than 61440 bytes", base::error);
+    job.payload.assign(longest_value / 2, 'x');
+    CHECK_NOTHROW(check(job));
+
+    job = two_steps();
+    job.steps[0].count = 3000;
+    CHECK_THROWS_WITH_AS(
+        check(job), "the job has more than 2500 tasks", base::error);
+    job.steps.resize(1);
+    job.steps[0].count = 2500;
+    CHECK_NOTHROW(check(job));
+
+    // All of its tasks have failed and have checkpoints.
+    constexpr std::uint32_t tasks_limit = 20'000;
+    job_progress progress{.state = job_state::running};
+    progress.done.resize(tasks_limit);
+    for (std::uint32_t i = 0; i < 2500; ++i) {
+        progress.tasks.push_back(
+            {.ordinal = tasks_limit - i,
+             .attempt = 300,
+             .failed_attempts = {1, 298, 299},
+             .checkpoint = "99.99"});
+    }
+    CHECK(encode(progress).size() <= longest_value);
+    CHECK(encode(progress).size() <= size_bound(progress));
+}
+
 // Guards against a field that a takeover would lose.
 TEST_CASE("stored jobs and progress are read back whole")
 {
--- a/libs/jobs/tests/simulated_world.cpp
+++ b/libs/jobs/tests/simulated_world.cpp
@@ -8,7 +8,6 @@
 namespace
 {
 
-constexpr std::size_t worker_count = 4;
 constexpr std::size_t host_count = 3;
 constexpr std::int64_t longest_lease_ms = 6000;
 constexpr base::duration one_way = base::milliseconds(2);
@@ -32,8 +31,34 @@
     this->now = end;
 }
 
+namespace
+{
+
+/// Limits of the platform's store.
+bool is_too_large(row_change const& change)
+{
+    constexpr std::size_t entries_limit = 100;
+    constexpr std::size_t value_limit = 65536;
+    constexpr std::size_t call_limit = 1'000'000;
+    std::size_t bytes = 0;
+    for (auto const& put : change.puts) {
+        if (put.value.size() > value_limit) {
+            return true;
+        }
+        bytes += put.value.size() * 4 / 3; // base64
+    }
+    return bytes > call_limit || change.conditions.size() + change.puts.size() +
+                                         change.removals.size() >
+                                     entries_limit;
+}
+
+} // namespace
+
 change_result simulated_store::apply(row_change const& change)
 {
+    if (is_too_large(change)) {
+        return {.status = store_status::not_done};
+    }
     change_result result;
     bool is_conflict = false;
     for (auto const& condition : change.conditions) {
@@ -373,13 +398,16 @@
 }
 
 simulated_world::simulated_world(
-    std::uint32_t seed, fault_rates rates, leader_options wanted)
+    std::uint32_t seed,
+    fault_rates rates,
+    leader_options wanted,
+    simulated_fleet const& fleet)
     : random(seed)
     , faults(rates)
     , leading(std::move(wanted))
 {
-    for (std::size_t i = 0; i < worker_count; ++i) {
-        this->workers.push_back({.id = "w" + std::to_string(i)});
+    for (std::size_t i = 0; i < fleet.workers; ++i) {
+        this->workers.push_back({.id = fleet.prefix + std::to_string(i)});
     }
     this->hosts.resize(host_count);
     for (std::size_t i = 0; i < host_count; ++i) {
@@ -462,12 +490,16 @@
 }
 
 void simulated_world::submit(
-    std::size_t host, std::string const& id, std::uint32_t tasks)
+    std::size_t host,
+    std::string const& id,
+    std::uint32_t tasks,
+    std::size_t payload_bytes)
 {
     if (!this->hosts[host]) {
         return;
     }
     job_spec job{.id = id, .queue = "q"};
+    job.payload.assign(payload_bytes, 'x');
     resources const need{.processors = 900, .memory_mb = 10};
     job.steps.push_back({.count = tasks, .need = need});
     job.steps.push_back({.count = 1, .need = need, .depends_on = {0}});
--- a/libs/jobs/tests/simulated_world.hpp
+++ b/libs/jobs/tests/simulated_world.hpp
@@ -61,9 +61,16 @@
     base::duration read_time{}; ///< of each read
     base::instant free_at{};
 
+    /// A change that is too large for the store is refused.
     change_result apply(row_change const& change);
 };
 
+struct simulated_fleet
+{
+    std::size_t workers = 4;
+    std::string prefix = "w"; ///< of identifiers
+};
+
 struct simulated_worker
 {
     struct run
@@ -156,12 +163,19 @@
 {
 public:
     simulated_world(
-        std::uint32_t seed, fault_rates rates, leader_options leading = {});
+        std::uint32_t seed,
+        fault_rates rates,
+        leader_options leading = {},
+        simulated_fleet const& fleet = {});
     ~simulated_world();
 
     void start_host(std::size_t index);
     void kill_host(std::size_t index);
-    void submit(std::size_t host, std::string const& id, std::uint32_t tasks);
+    void submit(
+        std::size_t host,
+        std::string const& id,
+        std::uint32_t tasks,
+        std::size_t payload_bytes = 0);
     void run_for(base::duration span);
 
     /// Jobs that were accepted and are not completed.
--- a/libs/jobs/tests/simulation_test.cpp
+++ b/libs/jobs/tests/simulation_test.cpp
@@ -333,6 +333,48 @@
     CHECK(is_held.use_count() == 1); // the test's own
 }
 
+// The pattern: a fleet of 2,000 workers, whose names took 100 KB in one row of
+// the store. Guards against a leader that can write no more, since the store
+// refuses a change that is too large as a whole.
+TEST_CASE("a leader names a large fleet in rows that the store takes")
+{
+    simulated_world world{
+        1, {}, {}, {.workers = 2000, .prefix = "worker-of-a-large-fleet-"}};
+    world.run_for(base::seconds(3));
+    constexpr int jobs = 20;
+    for (int i = 0; i < jobs; ++i) {
+        world.submit(0, "job" + std::to_string(i), 3);
+        world.run_for(base::milliseconds(100));
+    }
+    CHECK(world.accepted.size() == jobs);
+    std::size_t leading = 0;
+    while (!world.hosts[leading]->service->is_leading()) {
+        ++leading;
+    }
+    constexpr std::size_t all = 2000;
+    CHECK(
+        world.hosts[leading]->service->decisions()->workers_in_use().size() ==
+        all);
+    world.kill_host(leading); // the successor reads all pages
+    world.run_for(base::seconds(20));
+    CHECK(world.unfinished().empty());
+    CHECK(world.violations.empty());
+}
+
+// Guards against a burst of large jobs whose submissions share a write that the
+// store refuses as a whole, over and over.
+TEST_CASE("large jobs that come at once are accepted")
+{
+    simulated_world world{1, {}};
+    world.run_for(base::seconds(3));
+    constexpr int jobs = 26;
+    for (int i = 0; i < jobs; ++i) {
+        world.submit(0, "job" + std::to_string(i), 1, 50'000);
+    }
+    world.run_for(base::seconds(5));
+    CHECK(world.accepted.size() == jobs);
+}
+
 // Guards against a task that runs twice, a worker over its capacity and
 // accepted jobs that are lost, whatever fails at once: owners, store, workers,
 // answers.
