Kill a host after each single effect of a job's life

The simulated world counts what a host changes outside itself: rows, runs started and stopped, ends acknowledged. One job ends, one is cancelled; both must be in their final state, with no run, end or row left, and nothing may run twice, after its end was noted, or 3 s after its cancellation.

--- a/libs/jobs/tests/simulated_world.cpp
+++ b/libs/jobs/tests/simulated_world.cpp
@@ -228,6 +228,9 @@
         } else if (!store.is_down) {
             result = store.apply(change);
             result.store_ms = this->world.store_ms();
+            if (result.status == store_status::done) {
+                this->world.note_effect(this->host);
+            }
         }
         if (is_lost) {
             this->after(call_timeout, [=] {
@@ -268,9 +271,13 @@
                 this->world.noted.insert(end.run.task);
             }
         }
-        std::erase_if(worker->ends, [&](reported_end const& end) {
-            return end.number <= order.acknowledged;
-        });
+        auto const acknowledged =
+            std::erase_if(worker->ends, [&](reported_end const& end) {
+                return end.number <= order.acknowledged;
+            });
+        if (acknowledged > 0) {
+            this->world.note_effect(this->host);
+        }
         worker_report report{.clock_ms = now, .born_ms = worker->born};
         report.ended = worker->ends;
         for (auto const& [task, run] : worker->runs) {
@@ -307,6 +314,9 @@
                             : worker->born != born
                                 ? order_status::other_life
                                 : this->world.start(*worker, order);
+        if (status == order_status::done) {
+            this->world.note_effect(this->host);
+        }
         if (is_late) {
             return; // the caller has given up before
         }
@@ -340,6 +350,7 @@
                 run->second.name.attempt <= order.run.attempt) {
                 this->world.end_run(
                     *worker, order.run.task, run_outcome::stopped);
+                this->world.note_effect(this->host);
             }
         }
         if (is_lost || worker == nullptr) {
@@ -511,6 +522,38 @@
     this->hosts[index] = std::move(host);
 }
 
+void simulated_world::note_effect(std::string const& host)
+{
+    constexpr base::duration restart_gap = base::seconds(1);
+    if (++this->effects != this->crash_at_effect) {
+        return;
+    }
+    for (std::size_t i = 0; i < this->hosts.size(); ++i) {
+        if (this->hosts[i] && this->hosts[i]->host == host) {
+            this->kill_host(i);
+            if (this->on_crash) {
+                this->on_crash();
+            }
+            this->time.at(this->time.now + restart_gap, [this, i] {
+                this->start_host(i);
+            });
+        }
+    }
+}
+
+void simulated_world::cancel(std::size_t host, std::string const& id)
+{
+    if (!this->hosts[host]) {
+        return;
+    }
+    this->hosts[host]->service->cancel(
+        id, base::seconds(3), [this, id](request_outcome outcome) {
+            if (outcome == request_outcome::accepted) {
+                this->cancelled.emplace(id, this->time.now);
+            }
+        });
+}
+
 void simulated_world::kill_host(std::size_t index)
 {
     this->hosts[index]->is_alive = false;
@@ -630,6 +673,12 @@
     if (this->refused.contains(order.run.task.job)) {
         this->violations.push_back(text + " starts and was refused");
     }
+    constexpr base::duration longest_until_cancelled = base::seconds(3);
+    auto const given_up = this->cancelled.find(order.run.task.job);
+    if (given_up != this->cancelled.end() &&
+        this->time.now - given_up->second > longest_until_cancelled) {
+        this->violations.push_back(text + " starts after its cancellation");
+    }
     if (this->noted.contains(order.run.task)) {
         this->violations.push_back(text + " starts after its end was noted");
     }
--- a/libs/jobs/tests/simulated_world.hpp
+++ b/libs/jobs/tests/simulated_world.hpp
@@ -178,6 +178,8 @@
         std::uint32_t tasks,
         std::size_t payload_bytes = 0);
     void run_for(base::duration span);
+    /// Through this host; `cancelled` tells whether it was confirmed.
+    void cancel(std::size_t host, std::string const& id);
     /// Lists the worker so; each host learns of it some time later.
     void set_draining(std::size_t worker, bool is_draining);
     /// Ends all that runs there; the next life knows nothing of before.
@@ -201,6 +203,14 @@
     std::set<std::string> refused{};  ///< told that the job never runs
     std::size_t unknown_outcomes = 0; ///< of submissions
     base::duration longest_refusal{}; ///< until a caller was told
+    std::map<std::string, base::instant> cancelled{}; ///< when confirmed
+    /// What changed outside the hosts: rows, runs started and stopped, ends
+    /// acknowledged.
+    std::size_t effects = 0;
+    /// The host that brought this effect about is killed before it hears of
+    /// it, and starts again a second later; 0: none.
+    std::size_t crash_at_effect = 0;
+    std::function<void()> on_crash{}; ///< called then
     leader_options leading;
 
 private:
@@ -224,6 +234,8 @@
     order_status start(simulated_worker& worker, start_order const& order);
     simulated_worker* reach(std::string const& id);
     [[nodiscard]] std::int64_t born_of(std::string const& id) const;
+    /// By the host of this name.
+    void note_effect(std::string const& host);
 
     std::set<std::string> started{}; ///< jobs
     std::set<task_name> noted{};     ///< done, and acknowledged by a leader
