--- a/libs/jobs/tests/closed_worker_test.cpp
+++ b/libs/jobs/tests/closed_worker_test.cpp
@@ -35,6 +35,41 @@
     return starts[0].run;
 }
 
+/// How long the task of the lost run waits for its next start, in ms. "a" does
+/// not answer, the other workers do, and what was started goes on; 20 s if it
+/// does not start.
+std::int64_t restart_time(
+    fixture& test,
+    run_name const& lost,
+    start_order const& started,
+    std::vector<std::string> const& answering)
+{
+    constexpr std::int64_t step_ms = 100;
+    constexpr std::int64_t longest_ms = 20'000;
+    for (auto waited = step_ms; waited < longest_ms; waited += step_ms) {
+        test.wait(step_ms);
+        test.last_look.clear();
+        for (auto const& start : test.take<start_order>()) {
+            CHECK(start.run.task == lost.task);
+            CHECK(start.run.attempt == lost.attempt + 1);
+            return waited;
+        }
+        if (test.last_look.contains("a")) {
+            test.decisions.on_look(
+                "a", order_status::unknown, {}, test.now, test.now);
+        }
+        for (auto const& worker : answering) {
+            auto report = test.report();
+            if (worker == started.worker) {
+                auto const percent = static_cast<int>(waited / 250);
+                report.running = {{.run = started.run, .percent = percent}};
+            }
+            test.answer(worker, report);
+        }
+    }
+    return longest_ms;
+}
+
 } // namespace
 
 TEST_CASE("a record of closed workers is read as it was written")
@@ -205,23 +240,7 @@
 
     // The last lease was sent 2 s before, for 6 s at most on a clock that may
     // be 2% slow.
-    std::int64_t restarted_after = -1;
-    for (int i = 0; i < 100 && restarted_after < 0; ++i) {
-        next.wait(100);
-        next.last_look.clear();
-        for (auto const& start : next.take<start_order>()) {
-            CHECK(start.run.task == run.task);
-            CHECK(start.run.attempt == run.attempt + 1);
-            restarted_after = (i + 1) * 100;
-        }
-        if (next.last_look.contains("a")) {
-            next.decisions.on_look(
-                "a", order_status::unknown, {}, next.now, next.now);
-        }
-        auto report = next.report();
-        report.running = {{.run = starts[0].run, .percent = i / 2}};
-        next.answer("b", report);
-    }
+    auto const restarted_after = restart_time(next, run, starts[0], {"b"});
     CHECK(restarted_after >= 6120 - 2000);
     CHECK(restarted_after <= 6120 - 2000 + 500);
 }
@@ -304,26 +323,7 @@
 
     // The majority is heard at once, a deposed leader grants for 2.5 s at most,
     // 6 s on a clock that may be 2% slow, and 0.25 s for what lapses.
-    std::int64_t restarted_after = -1;
-    for (int i = 0; i < 200 && restarted_after < 0; ++i) {
-        next.wait(100);
-        next.last_look.clear();
-        for (auto const& start : next.take<start_order>()) {
-            CHECK(start.run.task == run.task);
-            restarted_after = (i + 1) * 100;
-        }
-        if (next.last_look.contains("a")) {
-            next.decisions.on_look(
-                "a", order_status::unknown, {}, next.now, next.now);
-        }
-        for (auto const* const worker : {"b", "c"}) {
-            auto answer = next.report();
-            if (others[0].worker == worker) {
-                answer.running = {{.run = others[0].run, .percent = i / 2}};
-            }
-            next.answer(worker, answer);
-        }
-    }
+    auto const restarted_after = restart_time(next, run, others[0], {"b", "c"});
     CHECK(restarted_after >= 2500 + 6120 + 250);
     CHECK(restarted_after <= 2500 + 6120 + 250 + 500);
 }
