--- a/libs/jobs/include/foxtaillift/jobs/candidate.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/candidate.hpp
@@ -102,6 +102,7 @@
             0, this->bound([this, on_done = std::move(on_done)] {
                 // Peers that ask are told at once that nobody leads here.
                 auto const ended = std::exchange(this->host->led, nullptr);
+                this->host->voting.on_not_leading(this->host->ports.now());
                 this->host->ports.after(
                     base::duration{}, [ended, on_done] { on_done(); });
             }));
@@ -158,10 +159,11 @@
         }
     }
 
-    /// Takes the next step of the election, if one is due.
+    /// Takes the next step of the election, if one is due. A host that stops
+    /// goes on following who leads, since callers still come to it.
     void vote()
     {
-        if (this->host->led || this->is_stopping || this->is_busy) {
+        if (this->host->led || this->is_busy) {
             return;
         }
         switch (this->host->voting.next(this->host->ports.now())) {
@@ -174,7 +176,11 @@
             this->read_lead();
             break;
         case election::step::take_over:
-            this->take_over();
+            if (this->is_stopping) {
+                this->read_lead(); // another host takes over
+            } else {
+                this->take_over();
+            }
             break;
         }
     }
@@ -221,7 +227,9 @@
             this->bound([this, sent_at](rows_result const& result) {
                 this->is_busy = false;
                 this->on_lead_read(result, sent_at);
-                this->vote();
+                if (!this->is_stopping) {
+                    this->vote();
+                }
             }));
     }
 
--- a/libs/jobs/tests/simulation_test.cpp
+++ b/libs/jobs/tests/simulation_test.cpp
@@ -358,6 +358,30 @@
     CHECK(is_held.use_count() == 1); // the test's own
 }
 
+// The pattern: hosts are restarted one after the other while the store turns
+// some of them away. Guards against callers of a host that stops, which are
+// refused because it does not know the next leader.
+TEST_CASE("a host that stops hands submissions to the next leader")
+{
+    simulated_world world{1, {}};
+    world.run_for(base::seconds(3));
+    std::size_t stopping = 0;
+    while (!world.hosts[stopping]->service->is_leading()) {
+        ++stopping;
+    }
+    bool is_resigned = false;
+    world.hosts[stopping]->service->stop([&] { is_resigned = true; });
+    world.run_for(base::milliseconds(1000));
+    CHECK(is_resigned);
+    CHECK_FALSE(world.hosts[stopping]->service->is_leading());
+    world.without_store.insert(stopping);
+    world.submit(stopping, "job", 1);
+    world.run_for(base::milliseconds(1000));
+    CHECK(world.accepted.contains("job"));
+    world.run_for(base::seconds(20));
+    CHECK(world.unfinished().empty());
+}
+
 // The pattern: a fleet of 2,000 workers, whose names took 100 KB in one row of
 // the store. Guards against a leader that can write no more, since the store
 // refuses a change that is too large as a whole.
