--- a/libs/jobs/tests/simulated_world.cpp
+++ b/libs/jobs/tests/simulated_world.cpp
@@ -422,14 +422,13 @@
     constexpr std::uint32_t longest_lag_ms = 800;
     this->workers[worker].is_draining = is_draining;
     auto const entry = entry_of(this->workers[worker]);
-    for (std::size_t i = 0; i < this->hosts.size(); ++i) {
+    for (auto& host : this->hosts) {
         auto const lag = base::uniform_below(this->random, longest_lag_ms);
-        this->time.at(
-            this->time.now + base::milliseconds(lag), [this, i, entry] {
-                if (this->hosts[i]) {
-                    this->hosts[i]->on_worker(entry);
-                }
-            });
+        this->time.at(this->time.now + base::milliseconds(lag), [&host, entry] {
+            if (host) {
+                host->on_worker(entry);
+            }
+        });
     }
 }
 
