Let hosts that stop resign whole, and write no empty record over an earlier leader's

Cause, found on reading the change again: a leader that resigned before it had read what lasts wrote the names of the workers that the platform listed, and an empty record of what was learned, over the rows of its predecessor. A successor then did not know of a worker that is not listed and may have runs, and could start their tasks elsewhere. A host that got SIGTERM while its takeover was on its way went on leading until its process ended, without resigning; since hosts serve for 2.2 s after SIGTERM that lasts longer.

Now such a leader writes only that it resigns, and a host that learns of its takeover while it stops resigns at once.

Ruled out: waiting for the load before resigning, which a slow store stretches beyond the time until the process must end.

--- a/libs/jobs/include/foxtaillift/jobs/candidate.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/candidate.hpp
@@ -94,10 +94,17 @@
     void stop(std::function<void()> on_done)
     {
         this->is_stopping = true;
-        if (!this->host->led) {
+        if (this->host->led) {
+            this->resign(std::move(on_done));
+        } else {
             on_done();
-            return;
         }
+    }
+
+private:
+    /// Gives the leadership up, then calls `on_done`.
+    void resign(std::function<void()> on_done)
+    {
         this->host->led->resign(
             0, this->bound([this, on_done = std::move(on_done)] {
                 // Peers that ask are told at once that nobody leads here.
@@ -108,7 +115,6 @@
             }));
     }
 
-private:
     /// A leadership lasts at least this long before it is yielded, and another
     /// yield follows no sooner: the larger host may not reach the store.
     static constexpr base::duration least_term = base::seconds(2);
@@ -329,6 +335,9 @@
                 next.epoch_version = result.version;
                 next.beat_version = result.version;
                 this->lead_with(next);
+                if (this->is_stopping) {
+                    this->resign([] {}); // the takeover was on its way
+                }
             }));
     }
 
--- a/libs/jobs/include/foxtaillift/jobs/record_writer.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/record_writer.hpp
@@ -99,6 +99,7 @@
     /// What an earlier leader had recorded.
     void inherit(inherited_state const& state)
     {
+        this->has_inherited = true;
         this->recorded_closed = state.closed;
         for (auto const& [job, final_state] : state.ended) {
             this->ended.emplace_back(this->ports.now(), job);
@@ -225,6 +226,12 @@
     /// Chooses what the next write holds. False if none is due.
     bool prepare(base::instant now)
     {
+        if (!this->has_inherited) {
+            // What is durable is the earlier leader's, and the successor's.
+            this->record = {.sequence = this->record.sequence};
+            this->record_successor();
+            return true;
+        }
         this->submissions.take(
             this->is_resigning ? 0
                                : this->options.job_rows_in_commit /
@@ -251,12 +258,7 @@
             }
             this->record.forgotten.push_back(job);
         }
-        if (this->is_resigning) {
-            auto given_up = this->lead.current;
-            given_up.address.clear();
-            given_up.size = std::max(given_up.size, this->successor_size);
-            this->record.successor = given_up;
-        }
+        this->record_successor();
         if (this->is_resigning ||
             now - this->learned_at >= this->options.learned_interval) {
             this->record.learned = this->decisions.learned();
@@ -264,6 +266,17 @@
         return true;
     }
 
+    void record_successor()
+    {
+        if (!this->is_resigning) {
+            return;
+        }
+        auto given_up = this->lead.current;
+        given_up.address.clear();
+        given_up.size = std::max(given_up.size, this->successor_size);
+        this->record.successor = given_up;
+    }
+
     /// Decides whether the next write names the closed workers. Returns true if
     /// that alone is worth a write; the age of leases that still count goes
     /// with others.
@@ -468,6 +481,7 @@
     std::function<void()> resigned{};
     std::int64_t successor_size = 0;
     bool is_commit_due = false; ///< is called soon
+    bool has_inherited = false;
     bool is_resigning = false;
     bool is_stopped = false;
 };
--- a/libs/jobs/tests/simulation_test.cpp
+++ b/libs/jobs/tests/simulation_test.cpp
@@ -1,5 +1,7 @@
 #include "simulated_world.hpp"
 
+#include "foxtaillift/jobs/worker_record.hpp"
+
 #include <doctest/doctest.h>
 
 #include <cstddef>
@@ -382,6 +384,88 @@
     CHECK(world.unfinished().empty());
 }
 
+namespace
+{
+
+/// Runs until another host has taken over in the store, before it hears so.
+/// Returns its index.
+std::size_t run_until_takeover(simulated_world& world)
+{
+    auto const epoch = [&] {
+        return world.store.rows.at({tables::lead, lead_keys::epoch});
+    };
+    auto const version = epoch().version;
+    while (epoch().version == version) {
+        world.run_for(base::milliseconds(1));
+    }
+    auto const host = decode_leadership(epoch().value).host;
+    return static_cast<std::size_t>(host.back() - '0');
+}
+
+/// A world of which the leader was just killed, after it had learned something.
+void kill_leader(simulated_world& world)
+{
+    world.run_for(base::seconds(5));
+    std::size_t leading = 0;
+    while (!world.hosts[leading]->service->is_leading()) {
+        ++leading;
+    }
+    world.kill_host(leading);
+}
+
+std::string value_of(simulated_world const& world, std::string const& key)
+{
+    auto const found = world.store.rows.find({tables::lead, key});
+    return found == world.store.rows.end() ? "" : found->second.value;
+}
+
+} // namespace
+
+// The pattern: hosts are restarted one after the other beside a death. Guards
+// against a host that begins to lead while it stops: nobody takes over until
+// its beat has stood still.
+TEST_CASE("a host that stops while it takes over resigns at once")
+{
+    simulated_world world{1, {}};
+    kill_leader(world);
+    auto const stopping = run_until_takeover(world);
+    world.hosts[stopping]->service->stop([] {});
+    world.run_for(base::milliseconds(300));
+    CHECK_FALSE(world.hosts[stopping]->service->is_leading());
+    auto const row = value_of(world, lead_keys::epoch);
+    auto const current = decode_leadership(row);
+    bool const is_other = current.host != "h" + std::to_string(stopping);
+    CHECK((current.address.empty() || is_other));
+}
+
+// The same while the store is slow. Guards against a leader that gives up
+// before it has read what lasts and writes its own empty state over it: its
+// successor would not know of workers that may have runs.
+TEST_CASE("a leader that gives up before it has loaded changes no record")
+{
+    simulated_world world{1, {}};
+    // A worker that the platform does not list any more may have runs.
+    worker_info const unlisted{.id = "u", .address = "u", .service = "s"};
+    kill_leader(world);
+    auto const key = roster_key(0);
+    auto named = decode_workers(value_of(world, key));
+    REQUIRE(named.size() == world.workers.size());
+    named.push_back(unlisted);
+    world.store.rows.at({tables::lead, key}).value = encode_workers(named);
+    auto const pages = value_of(world, key);
+    auto const learned = value_of(world, lead_keys::learned);
+    auto const stopping = run_until_takeover(world);
+    world.store.read_time = base::milliseconds(400);
+    world.run_for(base::milliseconds(100));
+    REQUIRE(world.hosts[stopping]->service->is_leading());
+    bool is_resigned = false;
+    world.hosts[stopping]->service->stop([&] { is_resigned = true; });
+    world.run_for(base::milliseconds(100));
+    CHECK(is_resigned);
+    CHECK(value_of(world, key) == pages);
+    CHECK(value_of(world, lead_keys::learned) == learned);
+}
+
 // The pattern: a fleet of 2,000 workers, whose names took 100 KB in one row of
 // the store. Guards against a leader that can write no more, since the store
 // refuses a change that is too large as a whole.
