--- a/libs/jobs/tests/simulated_world.hpp
+++ b/libs/jobs/tests/simulated_world.hpp
@@ -79,6 +79,8 @@
         base::instant done_at{};
         resources need{};
     };
+    static constexpr std::int64_t longest_lease_ms = 6000;
+
     std::string id{};
     resources capacity{.processors = 4000, .memory_mb = 1000};
     std::int64_t token = 0;
