--- a/libs/jobs/tests/closed_worker_test.cpp
+++ b/libs/jobs/tests/closed_worker_test.cpp
@@ -5,6 +5,9 @@
 #include "foxtaillift/jobs/worker_record.hpp"
 
 #include <algorithm>
+#include <span>
+#include <string>
+#include <vector>
 
 #include <doctest/doctest.h>
 
@@ -35,6 +38,29 @@
     return starts[0].run;
 }
 
+/// A leader that finds a record of "a", the job of start_and_lose() and another
+/// one. "a" does not report to it, the other workers do.
+struct successor : fixture
+{
+    successor(
+        std::span<closed_worker const> record,
+        std::vector<std::string> const& answering)
+        : fixture(2, true)
+    {
+        this->list("a");
+        for (auto const& worker : answering) {
+            this->list(worker);
+        }
+        this->decisions.take_closed(record, this->now);
+        this->add(one_task, {.count = 1, .need = {.processors = 1000}});
+        this->add("other", {.count = 1, .need = {.processors = 1000}});
+        this->take<look_order>();
+        for (auto const& worker : answering) {
+            this->answer(worker, this->report());
+        }
+    }
+};
+
 /// How long the task of the lost run waits for its next start, in ms. "a" does
 /// not answer, the other workers do, and what was started goes on; 20 s if it
 /// does not start.
@@ -224,14 +250,7 @@
     REQUIRE(record.size() == 1);
     CHECK(record[0].lease_age >= base::milliseconds(2000));
 
-    fixture next{2, true};
-    next.list("a");
-    next.list("b");
-    next.decisions.take_closed(record, next.now);
-    next.add(one_task, {.count = 1, .need = {.processors = 1000}});
-    next.add("other", {.count = 1, .need = {.processors = 1000}});
-    next.take<look_order>();
-    next.answer("b", next.report());
+    successor next{record, {"b"}};
     next.decisions.on_look("a", order_status::unknown, {}, next.now, next.now);
     auto const starts = next.take<start_order>();
     REQUIRE(starts.size() == 1);
@@ -305,16 +324,7 @@
         first.decisions.close_workers(first.now));
     CHECK(first.take<start_order>().size() == 1);
 
-    fixture next{2, true};
-    next.list("a");
-    next.list("b");
-    next.list("c");
-    next.decisions.take_closed(record, next.now);
-    next.add(one_task, {.count = 1, .need = {.processors = 1000}});
-    next.add("other", {.count = 1, .need = {.processors = 1000}});
-    next.take<look_order>();
-    next.answer("b", next.report());
-    next.answer("c", next.report());
+    successor next{record, {"b", "c"}};
     auto const others = next.take<start_order>();
     REQUIRE(others.size() == 1);
     CHECK(others[0].run.task.job == "other");
