Read odd entries and messages of others without ending or losing the list

- foxtaild's list of workers was read as one document: one malformed entry, a nesting, or a number out of range left the host without any newer list.
- A submission to foxtaild with a number such as 1e999 threw a type of error that nobody caught, which ended the process.
- MessagePack of peers and job texts of operators were decoded, copied or dumped by functions that call themselves for each level: a body of some 100 KB of brackets ends the stack.
- An entry with a port out of range named a worker at foxtail-node.
It was polled in vain, and a successor waited for its report before it started inherited tasks.
- Numbers of runs, times and sizes beyond their types changed their value.
- A MessagePack array whose stated size cannot be allocated ended foxtaild.

Change: base::parse_json and base::parse_msgpack bound the nesting and report one type of error; the list of workers is cut into its entries, each read by itself; addresses, names and numbers are checked at the boundary.

Ruled out: the platform's list at foxtail-node, whose entries are rows by themselves; simdjson, which bounds its depth.

--- a/libs/cluster/include/foxtaillift/cluster/msgpack_identifier.hpp
+++ b/libs/cluster/include/foxtaillift/cluster/msgpack_identifier.hpp
@@ -63,12 +63,13 @@
     try {
         auto const handle = msgpack::unpack(bytes.data(), bytes.size());
         return handle.get().as<Message>();
-    } catch (msgpack::unpack_error const& failure) {
-        throw base::error(base::error_code::corrupt_data, failure.what());
     } catch (msgpack::type_error const& failure) {
         throw base::error(
             base::error_code::corrupt_data,
             "a field of a peer's message has another type");
+    } catch (std::exception const& failure) {
+        // Also an array whose stated size cannot be allocated.
+        throw base::error(base::error_code::corrupt_data, failure.what());
     }
 }
 
--- a/libs/daemon/src/host_watch.cpp
+++ b/libs/daemon/src/host_watch.cpp
@@ -30,6 +30,7 @@
 {
     this->client.async_get([this](transport::host_list_result result) {
         if (result.is_answered) {
+            this->note_unreadable(result);
             this->take(std::move(result.hosts));
         } else {
             base::event_line line{"host_list_unavailable"};
@@ -41,6 +42,18 @@
     });
 }
 
+void host_watch::note_unreadable(transport::host_list_result const& result)
+{
+    // The list is read every few seconds; a line for each change is enough.
+    if (std::exchange(this->unreadable, result.unreadable) ==
+        result.unreadable) {
+        return;
+    }
+    base::event_line line{"host_list_entries_unreadable"};
+    this->shared.log.write(
+        line.add("entries", result.unreadable).add("reason", result.message));
+}
+
 void host_watch::take(std::vector<formats::worker_entry> hosts)
 {
     auto text = nlohmann::json(hosts).dump();
--- a/libs/daemon/src/host_watch.hpp
+++ b/libs/daemon/src/host_watch.hpp
@@ -45,6 +45,7 @@
 
 private:
     void poll();
+    void note_unreadable(transport::host_list_result const& result);
     void take(std::vector<formats::worker_entry> hosts);
 
     context& shared;
@@ -52,7 +53,8 @@
     wake_timer timer;
     listener changed;
     std::vector<formats::worker_entry> current;
-    std::string fingerprint; ///< of the list, to notice a change
+    std::size_t unreadable = 0; ///< entries of the last list
+    std::string fingerprint;    ///< of the list, to notice a change
 };
 
 } // namespace foxtaillift::daemon
--- a/libs/daemon/src/task_codec.cpp
+++ b/libs/daemon/src/task_codec.cpp
@@ -1,5 +1,6 @@
 #include "task_codec.hpp"
 
+#include "foxtaillift/base/bounded_json.hpp"
 #include "foxtaillift/base/error.hpp"
 
 #include <array>
@@ -140,8 +141,9 @@
         status, {{"status", code}, {"message", std::move(message)}});
 }
 
-batch::task_spec parse_declaration(json const& in)
+batch::task_spec parse_declaration(std::string_view text)
 {
+    auto const in = base::parse_json(text);
     check_fields(in);
     batch::task_spec spec;
     spec.team = base::team_id{read_name(in, "team")};
--- a/libs/daemon/src/task_codec.hpp
+++ b/libs/daemon/src/task_codec.hpp
@@ -19,8 +19,9 @@
 
 /// Reads a declaration: `team`, `key`, `class`, `processors`, `memory_mb`, and
 /// optionally `accelerators`, `run_ms`, `deadline_ms`, `priority`, `payload`.
-/// \throws base::error (invalid_argument) naming the field and what is allowed.
-batch::task_spec parse_declaration(nlohmann::json const& in);
+/// \throws base::error: invalid_argument naming the field and what is allowed,
+/// corrupt_data for a text that base::parse_json refuses.
+batch::task_spec parse_declaration(std::string_view text);
 
 nlohmann::json to_json(batch::task_view const& task, std::string explanation);
 nlohmann::json to_json(batch::worker_view const& worker);
--- a/libs/daemon/src/task_service.cpp
+++ b/libs/daemon/src/task_service.cpp
@@ -2,6 +2,7 @@
 
 #include "task_codec.hpp"
 
+#include "foxtaillift/base/bounded_json.hpp"
 #include "foxtaillift/base/error.hpp"
 #include "foxtaillift/batch/records.hpp"
 
@@ -157,11 +158,7 @@
 {
     batch::task_spec spec;
     try {
-        auto const body = json::parse(received.body);
-        spec = parse_declaration(body);
-    } catch (json::parse_error const& failure) {
-        done(error_response(400, "invalid", failure.what()));
-        return;
+        spec = parse_declaration(received.body);
     } catch (base::error const& failure) {
         done(error_response(400, "invalid", failure.what()));
         return;
@@ -340,7 +337,7 @@
         holder->send(std::move(answer));
     };
     try {
-        auto const body = json::parse(received.body);
+        auto const body = base::parse_json(received.body);
         base::cell_id const cell{body.at("cell").get<std::string>()};
         if (received.target == "/peer/submit") {
             this->submit_here(
--- a/libs/jobs/src/job_text.cpp
+++ b/libs/jobs/src/job_text.cpp
@@ -1,5 +1,6 @@
 #include "foxtaillift/jobs/job_text.hpp"
 
+#include "foxtaillift/base/bounded_json.hpp"
 #include "foxtaillift/base/error.hpp"
 
 #include <nlohmann/json.hpp>
@@ -104,6 +105,15 @@
     std::string where;
 };
 
+json parse_text(std::string_view text)
+{
+    try {
+        return base::parse_json(text);
+    } catch (base::error const& failure) {
+        refuse(std::string{"the job is no JSON: "} + failure.what());
+    }
+}
+
 step read_step(json const& object, std::string const& name)
 {
     member_reader reader{object, name};
@@ -146,10 +156,7 @@
 
 job_spec decode_job_text(std::string_view text)
 {
-    auto const object = json::parse(text, nullptr, false);
-    if (object.is_discarded()) {
-        refuse("the job is no JSON");
-    }
+    auto const object = parse_text(text);
     member_reader reader{object, "the job"};
     job_spec job;
     reader.take("id", job.id);
--- a/libs/jobs/src/packing.hpp
+++ b/libs/jobs/src/packing.hpp
@@ -1,6 +1,7 @@
 /// MessagePack for records and messages of the job service.
 #pragma once
 
+#include "foxtaillift/base/bounded_json.hpp"
 #include "foxtaillift/base/error.hpp"
 
 #include <nlohmann/json.hpp>
@@ -23,7 +24,7 @@
 auto unpack(std::string_view text, char const* what, Function read)
 {
     try {
-        return read(nlohmann::json::from_msgpack(text.begin(), text.end()));
+        return read(base::parse_msgpack(text));
     } catch (nlohmann::json::exception const& failure) {
         throw base::error{
             base::error_code::corrupt_data,
--- a/libs/jobs/tests/operator_interface_test.cpp
+++ b/libs/jobs/tests/operator_interface_test.cpp
@@ -112,6 +112,12 @@
     CHECK(job.steps[0].max_unavailable == 0);
 
     CHECK(is_refused_for("nonsense", "no JSON"));
+    // A short body must not end the stack of the process.
+    std::string const nested =
+        std::string(200'000, '[') + std::string(200'000, ']');
+    CHECK(is_refused_for(nested, "nested"));
+    CHECK(is_refused_for(R"({"id":"a","payload":)" + nested + "}", "nested"));
+    CHECK(is_refused_for(R"({"id":"a","repeats":1e999})", "no JSON"));
     CHECK(is_refused_for("[]", "not an object"));
     CHECK(is_refused_for(R"({"queue": "q", "steps": []})", "\"id\""));
     CHECK(is_refused_for(R"({"id": "a.b", "steps": []})", "\"id\""));
--- a/libs/transport/include/foxtaillift/transport/host_list_client.hpp
+++ b/libs/transport/include/foxtaillift/transport/host_list_client.hpp
@@ -5,6 +5,7 @@
 #include "foxtaillift/formats/hosts.hpp"
 #include "foxtaillift/transport/http_client_pool.hpp"
 
+#include <cstddef>
 #include <functional>
 #include <string>
 #include <vector>
@@ -17,7 +18,11 @@
 {
     bool is_answered = false;
     std::vector<formats::worker_entry> hosts{};
-    std::string message{}; ///< reason if not answered
+    /// Entries that name no worker: malformed, or with an address that no
+    /// connection can be opened to. They are left out of `hosts`.
+    std::size_t unreadable = 0;
+    /// Reason if not answered, or of the last entry that was left out.
+    std::string message{};
 };
 
 /// Safe from any thread. The pool must outlive the client.
--- a/libs/transport/src/address.cpp
+++ b/libs/transport/src/address.cpp
@@ -1,6 +1,7 @@
 #include "address.hpp"
 
 #include "foxtaillift/base/error.hpp"
+#include "foxtaillift/transport/address_text.hpp"
 
 #include <charconv>
 #include <string>
@@ -34,6 +35,12 @@
     return tcp::endpoint{ip, port};
 }
 
+bool is_address(std::string_view text)
+{
+    auto const endpoint = parse_address(text);
+    return endpoint && endpoint->port() != 0;
+}
+
 tcp::endpoint require_address(std::string_view text)
 {
     auto const endpoint = parse_address(text);
--- a/libs/transport/src/json_body.hpp
+++ b/libs/transport/src/json_body.hpp
@@ -1,6 +1,7 @@
 /// JSON bodies of requests and answers for the platform adapters.
 #pragma once
 
+#include "foxtaillift/base/bounded_json.hpp"
 #include "foxtaillift/transport/exchange.hpp"
 
 #include <nlohmann/json.hpp>
@@ -32,7 +33,7 @@
     -> std::optional<decltype(read(nlohmann::json{}))>
 {
     try {
-        return read(nlohmann::json::parse(answer.body));
+        return read(base::parse_json(answer.body));
     } catch (std::exception const& failure) {
         message = "unreadable answer with status " +
                   std::to_string(answer.status) + ": " + failure.what();
--- a/libs/transport/tests/adapters_test.cpp
+++ b/libs/transport/tests/adapters_test.cpp
@@ -350,4 +350,30 @@
     CHECK_FALSE(run(answer(200, R"({"hosts":[{}]})")).is_answered);
     CHECK_FALSE(run(answer(503)).is_answered);
     CHECK_FALSE(run(std::nullopt).is_answered);
+
+    // Another writer's entry names no worker, and the others hold.
+    auto const with = [&](std::string const& name, std::string const& value) {
+        return entry.substr(0, entry.size() - 1) + ",\"" + name +
+               "\":" + value + "}";
+    };
+    std::string const nested =
+        std::string(50'000, '[') + std::string(50'000, ']');
+    for (auto const& odd :
+         {nested, std::string{"7"}, std::string{"{}"}, with("odd", nested),
+          with("services", nested), with("processors", "1e999"),
+          with("memory_mb", "99999999999999999999999"),
+          with("address", R"("127.0.0.1:65536")"),
+          with("address", R"("127.0.0.1:0")"), with("address", R"("nowhere")"),
+          with("state", R"("odd")"), with("rack", "\"\xff\"")}) {
+        CAPTURE(odd.substr(0, 200));
+        auto const mixed =
+            run(answer(200, R"({"hosts":[)" + odd + "," + entry + "]}"));
+        REQUIRE(mixed.is_answered);
+        CHECK(mixed.unreadable + mixed.hosts.size() == 2);
+        REQUIRE_FALSE(mixed.hosts.empty());
+        CHECK(mixed.hosts.back().worker.str() == "w");
+        CHECK(mixed.hosts.back().address == "127.0.0.1:1");
+    }
+    CHECK(run(answer(200, R"({"hosts":[]})")).is_answered);
+    CHECK_FALSE(run(answer(200, nested)).is_answered);
 }
