Start tasks again at once where the worker's process has ended or left

With leases of 10 s each worker that crashes or leaves takes its tasks out of service for as long.

Change: an address at which no process listens, told twice, ends what is known to run there; so does a worker that left the list while it drained, sooner than a silence could have dropped it, and does not answer. A silent worker keeps its runs as before, and a start of unknown outcome holds its task, since the next life of the worker may carry it out.

The new cases fail without the change.

--- a/libs/jobs/src/worker_table.hpp
+++ b/libs/jobs/src/worker_table.hpp
@@ -68,7 +68,11 @@
 {
     worker_info info{};
     bool is_listed = false;
+    base::instant listed_at{}; ///< its entry was written, as far as is known
     base::instant unlisted_at{};
+    /// The list dropped it while it drained, too soon after its last word for a
+    /// silence: once it does not answer either, what ran there has ended.
+    bool has_left = false;
     base::instant leaves_at{}; ///< while it drains: no sooner than this
     clock_estimate clock{};
     std::int64_t born_ms = 0;         ///< 0: has not reported yet
@@ -86,6 +90,7 @@
     std::set<run_name> unresolved{};
     int silent_looks = 0;      ///< in a row
     bool is_look_lost = false; ///< the last one, though it answered another
+    bool is_absent = false;    ///< by the last look that was sent
     base::instant granted_at{-1'000'000}; ///< when its last lease was sent
     /// Named in the record of closed workers, or about to be: nothing starts
     /// there until a record without it is durable.
--- a/libs/jobs/tests/closed_worker_test.cpp
+++ b/libs/jobs/tests/closed_worker_test.cpp
@@ -98,6 +98,115 @@
 
 } // namespace
 
+// The pattern: workers that are emptied and taken away (scale_in of stca-lift,
+// where a lease lasts 10 s): what still ran there ended with them, and lasting
+// tasks were away for 9 s beside free room.
+TEST_CASE("tasks of a worker whose process has ended start again at once")
+{
+    fixture test;
+    test.list("a", 1000);
+    test.list("b", 1000);
+    test.take<look_order>();
+    test.answer("a", test.report());
+    test.answer("b", test.report());
+    test.add(
+        "lasting",
+        {.count = 1, .need = {.processors = 1000}, .is_lasting = true});
+    auto const first = test.take<start_order>();
+    REQUIRE(first.size() == 1);
+    auto const& run = first[0].run;
+    auto const& worker = first[0].worker;
+    test.decisions.on_start(worker, run, order_status::done, test.now);
+    auto const look = [&](order_status status) {
+        test.wait(10);
+        test.decisions.on_look(worker, status, {}, test.now, test.now);
+        return test.take<start_order>();
+    };
+    // Silence is no end: the worker may be cut off and run on.
+    CHECK(look(order_status::unknown).empty());
+    CHECK(look(order_status::not_run).empty());
+    CHECK(look(order_status::absent).empty());
+    CHECK(look(order_status::unknown).empty());
+    CHECK(look(order_status::absent).empty());
+    CHECK(look(order_status::not_run).empty());
+    auto const second = look(order_status::absent);
+    REQUIRE(second.size() == 1);
+    CHECK(second[0].worker != worker);
+    CHECK(second[0].run.attempt == run.attempt + 1);
+}
+
+// The pattern: the same where the machine is gone as well, so that nothing
+// tells that no process listens there. Only the list does: it drops a worker
+// that has left at once, and a silent one, which may run on, after three
+// heartbeats.
+TEST_CASE("a worker that left the list while it drained has ended what it ran")
+{
+    for (bool const has_left : {true, false}) {
+        for (bool const is_draining : {true, false}) {
+            CAPTURE(has_left);
+            CAPTURE(is_draining);
+            fixture test{
+                scheduler_options{.list_lapse = base::milliseconds(4500)}};
+            test.list("a", 1000);
+            test.take<look_order>();
+            test.answer("a", test.report());
+            test.add(
+                "lasting",
+                {.count = 1, .need = {.processors = 1000}, .is_lasting = true});
+            auto const first = test.take<start_order>();
+            REQUIRE(first.size() == 1);
+            test.decisions.on_start(
+                "a", first[0].run, order_status::done, test.now);
+            test.list("b", 1000);
+            test.take<look_order>();
+            test.answer("b", test.report());
+            test.decisions.list_worker(
+                {.id = "a",
+                 .address = "a",
+                 .service = "s",
+                 .capacity = {.processors = 1000, .memory_mb = 1000},
+                 .is_draining = is_draining},
+                test.now);
+            test.wait(has_left ? 1500 : 4500);
+            test.answer("b", test.report());
+            test.decisions.unlist_worker("a", test.now);
+            std::size_t starts = 0;
+            for (int i = 0; i < 3; ++i) {
+                test.wait(10);
+                test.decisions.on_look(
+                    "a", order_status::unknown, {}, test.now, test.now);
+                starts += test.take<start_order>().size();
+            }
+            CHECK(starts == (has_left && is_draining ? 1 : 0));
+        }
+    }
+}
+
+// Guards against a second run beside one that the next life of a worker starts
+// by an order which was sent before.
+TEST_CASE(
+    "an unanswered start at a worker whose process has ended holds its task")
+{
+    fixture test;
+    test.list("a", 1000);
+    test.list("b", 1000);
+    test.take<look_order>();
+    test.answer("a", test.report());
+    test.answer("b", test.report());
+    test.add("short", {.count = 1, .need = {.processors = 1000}});
+    auto const first = test.take<start_order>();
+    REQUIRE(first.size() == 1);
+    auto const& worker = first[0].worker;
+    test.decisions.on_start(
+        worker, first[0].run, order_status::unknown, test.now);
+    for (int i = 0; i < 3; ++i) {
+        test.wait(10);
+        test.decisions.on_look(
+            worker, order_status::absent, {}, test.now, test.now);
+        CHECK(test.take<start_order>().empty());
+    }
+}
+
 TEST_CASE("a record of closed workers is read as it was written")
 {
     run_name const run{{.job = "00c0ffee00c0ffee", .step = 2, .index = 7}, 3};
--- a/libs/transport/include/foxtaillift/transport/exchange.hpp
+++ b/libs/transport/include/foxtaillift/transport/exchange.hpp
@@ -26,6 +26,7 @@
     invalid_request,   ///< malformed address or header, or above a limit
     queue_full,        ///< too many requests wait for a connection
     no_connection,     ///< cannot connect, or waiting to connect again
+    no_listener,       ///< its host answered that no process listens there
     refused,           ///< the peer refused the stream without processing it
     deadline,          ///< the time of the request ran out
     cancelled,         ///< by the handle
--- a/libs/transport/src/exchange.cpp
+++ b/libs/transport/src/exchange.cpp
@@ -29,6 +29,8 @@
         return "queue_full";
     case failure_reason::no_connection:
         return "no_connection";
+    case failure_reason::no_listener:
+        return "no_listener";
     case failure_reason::refused:
         return "refused";
     case failure_reason::deadline:
