--- a/libs/cluster/include/foxtaillift/cluster/msgpack_identifier.hpp
+++ b/libs/cluster/include/foxtaillift/cluster/msgpack_identifier.hpp
@@ -61,15 +61,18 @@
 Message decode(std::string_view bytes)
 {
     try {
-        auto const handle = msgpack::unpack(bytes.data(), bytes.size());
+        // An array or a map has at most an element for each byte; a stated size
+        // beyond would be allocated before its elements are missed.
+        auto const handle = msgpack::unpack(
+            bytes.data(), bytes.size(), nullptr, nullptr,
+            msgpack::unpack_limit(bytes.size(), bytes.size()));
         return handle.get().as<Message>();
+    } catch (msgpack::unpack_error const& failure) {
+        throw base::error(base::error_code::corrupt_data, failure.what());
     } catch (msgpack::type_error const& failure) {
         throw base::error(
             base::error_code::corrupt_data,
             "a field of a peer's message has another type");
-    } catch (std::exception const& failure) {
-        // Also an array whose stated size cannot be allocated.
-        throw base::error(base::error_code::corrupt_data, failure.what());
     }
 }
 
--- a/libs/daemon/src/call_service.cpp
+++ b/libs/daemon/src/call_service.cpp
@@ -3,6 +3,7 @@
 #include "service_settings.hpp"
 
 #include "foxtaillift/base/error.hpp"
+#include "foxtaillift/cluster/msgpack_identifier.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -90,11 +91,10 @@
     transport::received_request received, transport::responder reply)
 {
     try {
-        auto const handle =
-            msgpack::unpack(received.body.data(), received.body.size());
         this->start(
             from_forwarded(
-                handle.get().as<forwarded_call>(), this->shared.now()),
+                cluster::decode<forwarded_call>(received.body),
+                this->shared.now()),
             std::move(reply));
     } catch (std::exception const& failure) {
         reply.send(refusal_of(400, failure.what()));
--- a/libs/daemon/src/cell_load_board.cpp
+++ b/libs/daemon/src/cell_load_board.cpp
@@ -1,6 +1,7 @@
 #include "cell_load_board.hpp"
 
 #include "foxtaillift/batch/cell_query.hpp"
+#include "foxtaillift/cluster/msgpack_identifier.hpp"
 #include "foxtaillift/routing/summary_query.hpp"
 
 #include <boost/algorithm/hex.hpp>
@@ -111,8 +112,7 @@
         return;
     }
     try {
-        auto const handle = msgpack::unpack(bytes.data(), bytes.size());
-        this->take(handle.get().as<std::vector<cell_load_entry>>());
+        this->take(cluster::decode<std::vector<cell_load_entry>>(bytes));
     } catch (std::exception const&) {
         // A peer of another version; its summaries are not needed.
         return;
