--- a/libs/daemon/src/call_service.cpp
+++ b/libs/daemon/src/call_service.cpp
@@ -88,7 +88,7 @@
 }
 
 void call_service::handle_forwarded(
-    transport::received_request received, transport::responder reply)
+    transport::received_request const& received, transport::responder reply)
 {
     try {
         this->start(
--- a/libs/daemon/src/call_service.hpp
+++ b/libs/daemon/src/call_service.hpp
@@ -30,7 +30,8 @@
         transport::received_request received, transport::responder reply);
     /// A call that a peer forwarded. Any thread.
     void handle_forwarded(
-        transport::received_request received, transport::responder reply);
+        transport::received_request const& received,
+        transport::responder reply);
 
     /// While not ready, calls are refused as not run. Any thread.
     void set_ready(bool is_ready) { this->ready = is_ready; }
