--- a/libs/daemon/src/peer_service.cpp
+++ b/libs/daemon/src/peer_service.cpp
@@ -19,8 +19,7 @@
     transport::received_request received, transport::responder reply)
 {
     if (received.target == "/peer/call") {
-        this->parts.calls.handle_forwarded(
-            std::move(received), std::move(reply));
+        this->parts.calls.handle_forwarded(received, std::move(reply));
         return;
     }
     auto holder = std::make_shared<transport::responder>(std::move(reply));
--- a/libs/daemon/tests/task_codec_test.cpp
+++ b/libs/daemon/tests/task_codec_test.cpp
@@ -5,7 +5,9 @@
 
 #include <doctest/doctest.h>
 
+#include <cstddef>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace base = foxtaillift::base;
@@ -15,16 +17,25 @@
 // are no syntax error to the reader of JSON.
 TEST_CASE("declarations of tasks that are odd are refused")
 {
-    std::string const good =
-        R"({"team":"a","key":"k","class":"c","processors":1,"memory_mb":2)";
-    CHECK(daemon::parse_declaration(good + "}").key == "k");
-    std::string const nested =
-        std::string(200'000, '[') + std::string(200'000, ']');
+    auto const with = [](std::string_view members) {
+        std::string body =
+            R"({"team":"a","key":"k","class":"c","processors":1,"memory_mb":2)";
+        body += members;
+        return body;
+    };
+    CHECK(daemon::parse_declaration(with("}")).key == "k");
+    constexpr std::size_t levels = 200'000;
+    std::string nested(levels, '[');
+    nested.append(levels, ']');
+    std::string nested_priority = R"(,"priority":)";
+    nested_priority.append(nested).append("}");
+    std::string nested_payload = R"(,"payload":)";
+    nested_payload.append(nested).append("}");
     for (auto const& body :
-         {std::string{}, std::string{"[]"}, good, nested,
-          good + R"(,"run_ms":1e999})", good + R"(,"priority":)" + nested + "}",
-          good + R"(,"run_ms":99999999999999999999})",
-          good + R"(,"payload":)" + nested + "}"}) {
+         {std::string{}, std::string{"[]"}, with(""), nested,
+          with(R"(,"run_ms":1e999})"),
+          with(R"(,"run_ms":99999999999999999999})"), with(nested_priority),
+          with(nested_payload)}) {
         CAPTURE(body.substr(0, 200));
         CHECK_THROWS_AS(daemon::parse_declaration(body), base::error);
     }
