--- a/libs/transport/tests/adapters_test.cpp
+++ b/libs/transport/tests/adapters_test.cpp
@@ -366,8 +366,9 @@
           with("address", R"("127.0.0.1:0")"), with("address", R"("nowhere")"),
           with("state", R"("odd")"), with("rack", "\"\xff\"")}) {
         CAPTURE(odd.substr(0, 200));
-        auto const mixed =
-            run(answer(200, R"({"hosts":[)" + odd + "," + entry + "]}"));
+        std::string list = R"({"hosts":[)";
+        list.append(odd).append(",").append(entry).append("]}");
+        auto const mixed = run(answer(200, list));
         REQUIRE(mixed.is_answered);
         CHECK(mixed.unreadable + mixed.hosts.size() == 2);
         REQUIRE_FALSE(mixed.hosts.empty());
