--- a/review/common/standin.py
+++ b/review/common/standin.py
@@ -9,6 +9,8 @@
 import random
 import shutil
 import signal
+import socket
+import struct
 import subprocess
 import tempfile
 import time
@@ -76,12 +78,14 @@
     return lines[0], headers, body
 
 
-async def serve(host, port, handler):
+async def serve(host, port, handler, open_ones=None):
     """handler(method, path, query, headers, body) -> (status, object), or None
-    for no answer."""
+    for no answer. `open_ones` gets the connections that are open."""
 
     async def on_connection(reader, writer):
         hold(asyncio.current_task())
+        if open_ones is not None:
+            open_ones.add(writer)
         try:
             while True:
                 first, headers, body = await read_message(reader)
@@ -102,6 +106,8 @@
         except (asyncio.IncompleteReadError, ConnectionError, OSError):
             pass
         finally:
+            if open_ones is not None:
+                open_ones.discard(writer)
             writer.close()
 
     return await asyncio.start_server(on_connection, host, port, backlog=512)
@@ -330,6 +336,26 @@
         self.acked = 0
         self.news = asyncio.Event()
         self.written_at = 0.0
+        self.server = None
+        self.open_ones = set()
+
+    async def listen(self, ip, port=0):
+        self.server = await serve(ip, port, self.handle, self.open_ones)
+        self.address = "%s:%d" % self.server.sockets[0].getsockname()[:2]
+
+    def cut_with_resets(self):
+        """What comes is reset, on connections that are open and on new ones."""
+        self.is_cut = True
+        self.server.close()
+        for writer in list(self.open_ones):
+            writer.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            writer.transport.abort()
+
+    async def heal(self):
+        ip, port = self.address.rsplit(":", 1)
+        await self.listen(ip, int(port))
+        self.is_cut = False
 
     def clock_ms(self):
         return 1000 + int((time.monotonic() - self.born) * 1000)
@@ -519,8 +545,7 @@
         }
 
     async def add(self, worker):
-        server = await serve(f"{self.network}.{100 + len(self.workers) % 90}", 0, worker.handle)
-        worker.address = "%s:%d" % server.sockets[0].getsockname()[:2]
+        await worker.listen(f"{self.network}.{100 + len(self.workers) % 90}")
         worker.written_at = time.monotonic()
         await self.store.put("servers", worker.name, worker.entry())
         if worker not in self.workers:
