--- a/review/common/standin.py
+++ b/review/common/standin.py
@@ -454,7 +454,7 @@
             if worked >= CHECKPOINT_MS:
                 run.saved = f"{run.attempt:04x}{worked // CHECKPOINT_MS:04x}{hash(task) & 0xffffffff:08x}"
             if worked >= run.work_ms:
-                self.end(task, "done")
+                self.end(task, "failed" if task.split(".")[0] in self.world.hopeless else "done")
             elif run.stop_at is not None and now >= run.stop_at:
                 self.end(task, "stopped")
             elif now >= self.lease_until:
@@ -480,6 +480,7 @@
         self.done = {}  # task -> done ends: (worker, number)
         self.work = {}  # job -> ms
         self.cpu = {}  # job -> thousandths
+        self.hopeless = set()  # jobs that can never be done
         self.runs_seen = 0
         self.background = []
         self.proxies = []
