Keep the runs of a worker that refuses connections

Cause: two polls in a row that were refused counted as the end of the worker's process, and all of its confirmed runs were given up. Log of the leader: worker_silent, and 303 ms later runs_lost reason="no process listens at its address", under a lease of 5.8 s. A refusal may come from whatever stands on the path and tells nothing of the process.

Change: a refused poll is one without an answer; order_status has no such value any more. Runs of a silent worker end with their leases, with a report of a later life, or when another worker answers at its address.

--- a/libs/jobs/include/foxtaillift/jobs/worker.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/worker.hpp
@@ -93,10 +93,7 @@
     invalid,    ///< refused as malformed
     not_run,    ///< certainly not carried out; may be sent again
     other_life, ///< another worker answers at that address
-    /// Not carried out, since no process listens at that address: the worker
-    /// that did has ended, and by the platform's terms all that it ran.
-    absent,
-    unknown, ///< may have been or may yet be carried out
+    unknown,    ///< may have been or may yet be carried out
 };
 
 std::string_view to_string(order_status status);
--- a/libs/jobs/src/scheduler_reports.cpp
+++ b/libs/jobs/src/scheduler_reports.cpp
@@ -95,14 +95,8 @@
         worker.look_due = now + longest_silent_gap;
         return;
     }
-    // Twice, since one answer may come from a host between. A look that was not
-    // sent, as the pool waits before it connects again, says nothing.
-    if (status == order_status::absent && worker.is_absent) {
-        this->lose_settled_runs(index, "no process listens at its address");
-    }
-    if (status != order_status::not_run) {
-        worker.is_absent = status == order_status::absent;
-    }
+    // A refused connection is no more than silence: whatever stands between may
+    // refuse it while the worker runs on.
     ++worker.silent_looks;
     if (worker.has_left && worker.silent_looks > 1) {
         this->lose_settled_runs(index, "it has left");
@@ -161,7 +155,6 @@
     worker.is_gone = false;
     worker.silent_looks = 0;
     worker.is_look_lost = false;
-    worker.is_absent = false;
     worker.has_left = false;
     worker.heard_at = now;
     worker.heard_sent_at = std::max(worker.heard_sent_at, sent_at);
--- a/libs/jobs/src/worker.cpp
+++ b/libs/jobs/src/worker.cpp
@@ -43,8 +43,6 @@
         return "not_run";
     case order_status::other_life:
         return "other_life";
-    case order_status::absent:
-        return "absent";
     case order_status::unknown:
         return "unknown";
     }
--- a/libs/jobs/src/worker_table.hpp
+++ b/libs/jobs/src/worker_table.hpp
@@ -90,7 +90,6 @@
     std::set<run_name> unresolved{};
     int silent_looks = 0;      ///< in a row
     bool is_look_lost = false; ///< the last one, though it answered another
-    bool is_absent = false;    ///< by the last look that was sent
     base::instant granted_at{-1'000'000}; ///< when its last lease was sent
     /// Named in the record of closed workers, or about to be: nothing starts
     /// there until a record without it is durable.
