Keep the runs of a draining worker that vanishes from the list

Cause: a draining worker whose entry vanished within half of three heartbeats after "its last write" counted as one that has left. That time was set whenever the leader listed the worker anew: when it had written the page that names it, for each worker that joined, and at a takeover. Log of the leader: worker_silent, worker_unlisted 2.6 s later, runs_lost reason="it has left" 0.9 s after that; the platform had removed the entry after the silence of three heartbeats. Ruled out as a mend: keeping the time of the write. A feed that delivers late, an unreadable entry of another writer and an outage of the store make entries vanish as soon.

Change: a vanished entry ends no run; nothing new starts there.

--- a/libs/jobs/include/foxtaillift/jobs/scheduler.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/scheduler.hpp
@@ -33,9 +33,6 @@
     /// How long a look waits for an end when nothing else is due. While its
     /// answer is lost, the worker is not heard for this long.
     base::duration look_wait = base::milliseconds(1000);
-    /// The platform's list drops a worker after a silence of this length at the
-    /// least, and one that has left at once; 0 if that is not known.
-    base::duration list_lapse{};
     /// One line for each decision; may be empty.
     std::function<void(base::event_line const&)> log{};
 };
--- a/libs/jobs/src/scheduler.cpp
+++ b/libs/jobs/src/scheduler.cpp
@@ -34,8 +34,6 @@
     }
     entry.info = worker;
     entry.is_listed = true;
-    entry.listed_at = now;
-    entry.has_left = false;
     entry.leaves_at = now + worker.remaining;
 }
 
@@ -61,11 +59,8 @@
                             .add("runs", entry.runs.size())
                             .add("silent_looks", entry.silent_looks));
         entry.is_listed = false;
+        // Its runs stay: a worker that is cut off leaves the list as well.
         entry.unlisted_at = now;
-        // Half of the silence, since the feed tells of writes with a delay.
-        entry.has_left =
-            entry.info.is_draining &&
-            now - entry.listed_at < this->impl->options.list_lapse / 2;
     }
 }
 
--- a/libs/jobs/src/scheduler_core.hpp
+++ b/libs/jobs/src/scheduler_core.hpp
@@ -239,9 +239,6 @@
     void stop_all(job_entry& job);
     void end_job(job_entry& job, job_state state, std::string_view reason);
     void lose_runs(std::size_t worker, std::string_view reason);
-    /// The same but for starts of which the outcome is unknown: the next life
-    /// of the worker may carry them out.
-    void lose_settled_runs(std::size_t worker, std::string_view reason);
     void forget_orphan(std::size_t worker, run_name const& run);
     /// Takes over the runs of a job that were reported before its row.
     void adopt_orphans(job_entry& job, base::instant now);
--- a/libs/jobs/src/scheduler_jobs.cpp
+++ b/libs/jobs/src/scheduler_jobs.cpp
@@ -312,30 +312,6 @@
     }
 }
 
-void scheduler::implementation::lose_settled_runs(
-    std::size_t worker, std::string_view reason)
-{
-    std::vector<run_name> settled;
-    for (auto const& [run, taken] : this->workers[worker].runs) {
-        auto const* const entry = this->find_run(worker, run);
-        if (entry != nullptr && (entry->phase == run_phase::running ||
-                                 entry->phase == run_phase::stopping)) {
-            settled.push_back(run);
-        }
-    }
-    if (settled.empty()) {
-        return;
-    }
-    this->log(base::event_line{"runs_lost"}
-                  .add("worker", this->workers[worker].info.id)
-                  .add("runs", settled.size())
-                  .add("reason", reason));
-    for (auto const& run : settled) {
-        auto const place = this->find_task(run.task);
-        this->close_run(*place.job, place.ordinal, worker, run.attempt);
-    }
-}
-
 bool scheduler::implementation::is_removable(job_entry const& job) const
 {
     // Workers that have not reported yet may have runs of an inherited job.
--- a/libs/jobs/src/scheduler_reports.cpp
+++ b/libs/jobs/src/scheduler_reports.cpp
@@ -98,9 +98,6 @@
     // A refused connection is no more than silence: whatever stands between may
     // refuse it while the worker runs on.
     ++worker.silent_looks;
-    if (worker.has_left && worker.silent_looks > 1) {
-        this->lose_settled_runs(index, "it has left");
-    }
     if (worker.silent_looks == 1) {
         this->log(base::event_line{"worker_silent"}
                       .add("worker", worker.info.id)
@@ -155,7 +152,6 @@
     worker.is_gone = false;
     worker.silent_looks = 0;
     worker.is_look_lost = false;
-    worker.has_left = false;
     worker.heard_at = now;
     worker.heard_sent_at = std::max(worker.heard_sent_at, sent_at);
     worker.clock.on_answer(report.clock_ms, now);
--- a/libs/jobs/src/worker_table.hpp
+++ b/libs/jobs/src/worker_table.hpp
@@ -68,11 +68,7 @@
 {
     worker_info info{};
     bool is_listed = false;
-    base::instant listed_at{}; ///< its entry was written, as far as is known
     base::instant unlisted_at{};
-    /// The list dropped it while it drained, too soon after its last word for a
-    /// silence: once it does not answer either, what ran there has ended.
-    bool has_left = false;
     base::instant leaves_at{}; ///< while it drains: no sooner than this
     clock_estimate clock{};
     std::int64_t born_ms = 0;         ///< 0: has not reported yet
