Ignore the answer of another worker at a former address

A worker may start again under its identifier at another address, and another worker may get the former one. A poll that was out while the list moved the worker then came back as "another worker answers", and gave up what had been started at the new address.

Change: such an answer counts only if its poll was sent after the worker got its address.

Test: jobs_test "the answer of another worker at a former address ends no run", which failed on the code before (a second start).

--- a/libs/jobs/src/scheduler.cpp
+++ b/libs/jobs/src/scheduler.cpp
@@ -22,6 +22,7 @@
     if (entry.info.address != worker.address) {
         entry.is_gone = false;
         entry.look_due = now;
+        entry.moved_at = now;
     }
     if (!entry.is_listed || entry.info.is_draining != worker.is_draining) {
         this->impl->log(base::event_line{"worker_listed"}
--- a/libs/jobs/src/scheduler_reports.cpp
+++ b/libs/jobs/src/scheduler_reports.cpp
@@ -89,6 +89,9 @@
         this->is_fenced = true;
         return;
     }
+    if (status == order_status::other_life && sent_at < worker.moved_at) {
+        return; // who answers at a former address says nothing of this one
+    }
     if (status == order_status::other_life) {
         worker.is_gone = true;
         this->lose_runs(index, "another worker answers at its address");
--- a/libs/jobs/src/worker_table.hpp
+++ b/libs/jobs/src/worker_table.hpp
@@ -71,10 +71,11 @@
     base::instant unlisted_at{};
     base::instant leaves_at{}; ///< while it drains: no sooner than this
     clock_estimate clock{};
-    std::int64_t born_ms = 0;         ///< 0: has not reported yet
-    std::int64_t leased_until_ms = 0; ///< latest ever granted, on its clock
-    bool is_heard = false;            ///< has reported to this leader
-    bool is_gone = false;             ///< nothing can run there any more
+    std::int64_t born_ms = 0;           ///< 0: has not reported yet
+    std::int64_t leased_until_ms = 0;   ///< latest ever granted, on its clock
+    bool is_heard = false;              ///< has reported to this leader
+    bool is_gone = false;               ///< nothing can run there any more
+    base::instant moved_at{-1'000'000}; ///< to the address that is listed
 
     bool is_look_out = false;
     base::instant look_overdue_at{}; ///< its answer should have come by then
--- a/libs/jobs/tests/closed_worker_test.cpp
+++ b/libs/jobs/tests/closed_worker_test.cpp
@@ -174,6 +174,38 @@
     }
 }
 
+// Guards against TWICE: a worker may start again under its identifier at
+// another address, and another worker may get the former one.
+TEST_CASE("the answer of another worker at a former address ends no run")
+{
+    fixture test;
+    test.list("a", 1000);
+    test.list("b", 1000);
+    test.take<look_order>();
+    test.answer("a", test.report());
+    test.answer("b", test.report());
+    test.take<look_order>();
+    auto const polled_at = test.now;
+    test.wait(100);
+    for (std::string const worker : {"a", "b"}) {
+        test.decisions.list_worker(
+            {.id = worker,
+             .address = "other " + worker,
+             .service = "s",
+             .capacity = {.processors = 1000, .memory_mb = 1000}},
+            test.now);
+    }
+    test.add(one_task, {.count = 1, .need = {.processors = 1000}});
+    auto const starts = test.take<start_order>();
+    REQUIRE(starts.size() == 1);
+    test.decisions.on_start(
+        starts[0].worker, starts[0].run, order_status::done, test.now);
+    test.wait(100);
+    test.decisions.on_look(
+        starts[0].worker, order_status::other_life, {}, polled_at, test.now);
+    CHECK(test.take<start_order>().empty());
+}
+
 // Guards against a second run beside one that the next life of a worker starts
 // by an order which was sent before.
 TEST_CASE("an unanswered start at a worker that refuses holds its task")
