Close idle connections that went silent together with one that timed out

Cause: a time-out closed its own connection only, and the next call took another idle one that was as silent. Host 1 had four: its log has store_lost and, 8.6 s later, store_regained with the configuration in the same millisecond. Ruled out: the store (it answered new connections at once) and the follower's pause between calls (1 s at most).

Change: each connection of the pool notes when it last told anything. A request whose time runs out before a byte of its answer came, or whose connection the kernel gives up, closes the idle connections to its address that have told nothing since it was written; one that has answered meanwhile is kept. This holds for the store, workers, other hosts and the adviser.

Tests: transport_test "one silent connection costs the others of its time no request", which failed on the code before, and "connections that answer are kept beside one that times out".

--- a/libs/transport/include/foxtaillift/transport/http_client_pool.hpp
+++ b/libs/transport/include/foxtaillift/transport/http_client_pool.hpp
@@ -32,7 +32,7 @@
     std::uint64_t requests = 0;
     std::uint64_t connections_opened = 0;
     std::uint64_t connections_reused = 0;
-    std::uint64_t stale_connections = 0; ///< found closed before their reuse
+    std::uint64_t stale_connections = 0; ///< idle ones found closed or silent
     std::uint64_t queue_refusals = 0;
     std::uint64_t late_or_cancelled = 0;
     std::uint64_t broken_answers = 0; ///< early end, malformed, too large
@@ -49,6 +49,10 @@
 /// goes to a new connection. Once a byte was accepted, a close without an
 /// answer is `sent_unknown`: TCP cannot tell whether the server had read it.
 ///
+/// A request whose time runs out before a byte of its answer came closes the
+/// idle connections to its address that have told nothing since it was written:
+/// connections can go silent together, without a reset.
+///
 /// An answer counts only if its whole body arrived. Without Content-Length or
 /// chunked coding the end of a body is not certain, so such an answer is
 /// `malformed_answer`. The connection of a failed request is closed.
--- a/libs/transport/src/pool_connection.cpp
+++ b/libs/transport/src/pool_connection.cpp
@@ -39,6 +39,9 @@
                             failure_reason reason, std::string message) {
         if (auto const self = weak.lock()) {
             ++self->group->core->counters.late_or_cancelled;
+            if (reason == failure_reason::deadline) {
+                self->report_silence();
+            }
             self->fail(reason, std::move(message));
         }
     });
@@ -87,6 +90,7 @@
     ++this->timer_number;
     ++this->group->core->counters.opened;
     this->is_connected = true;
+    this->heard = std::chrono::steady_clock::now();
     tune(this->socket, tcp::no_delay(true));
     tune(
         this->socket, user_timeout_option(static_cast<int>(
@@ -106,6 +110,7 @@
     std::array<net::const_buffer, 2> const buffers{
         net::buffer(this->head), net::buffer(message.body)};
     this->is_writing = true;
+    this->written = std::chrono::steady_clock::now();
     // The exchange is captured because it owns the body.
     net::async_write(
         this->socket, buffers,
@@ -152,6 +157,9 @@
         return;
     }
     if (failure) {
+        if (failure == net::error::timed_out) {
+            this->report_silence();
+        }
         bool const has_part = this->reader->has_started();
         if (has_part) {
             ++this->group->core->counters.broken_answers;
@@ -162,6 +170,7 @@
             failure.message());
         return;
     }
+    this->heard = std::chrono::steady_clock::now();
     this->input.append(this->scratch, 0, bytes);
     switch (this->reader->consume(this->input)) {
     case response_reader::progress::need_more:
@@ -264,6 +273,13 @@
     }
 }
 
+void pool_connection::report_silence()
+{
+    if (this->is_connected && this->heard < this->written) {
+        this->group->close_idle_unheard_since(this->written);
+    }
+}
+
 void pool_connection::close()
 {
     if (this->is_closed) {
--- a/libs/transport/src/pool_connection.hpp
+++ b/libs/transport/src/pool_connection.hpp
@@ -6,6 +6,7 @@
 #include "pool_exchange.hpp"
 #include "response_reader.hpp"
 
+#include <chrono>
 #include <memory>
 #include <optional>
 #include <string>
@@ -31,6 +32,12 @@
     /// server, as far as the kernel knows at this moment.
     [[nodiscard]] bool is_usable();
 
+    /// When its server last accepted it or sent anything.
+    [[nodiscard]] std::chrono::steady_clock::time_point heard_at() const
+    {
+        return this->heard;
+    }
+
     /// Ends the request in progress, if any, and closes.
     void fail(failure_reason reason, std::string message);
 
@@ -45,6 +52,8 @@
     void on_read(error_code failure, std::size_t bytes);
     void on_answer();
     void conclude();
+    /// Nothing came for the request in progress, so that its path may be dead.
+    void report_silence();
     void wait_idle();
     void arm(base::duration limit, void (pool_connection::*action)());
     void on_connect_timeout();
@@ -66,6 +75,8 @@
     bool is_writing = false;
     bool is_answered = false;       ///< the answer came before the write's end
     std::size_t accepted_bytes = 0; ///< of the request, by the kernel
+    std::chrono::steady_clock::time_point heard{};
+    std::chrono::steady_clock::time_point written{}; ///< last request's start
     failure_reason fault = failure_reason::none;
     std::string fault_message;
     std::string head;
--- a/libs/transport/src/pool_group.cpp
+++ b/libs/transport/src/pool_group.cpp
@@ -136,6 +136,19 @@
     }
 }
 
+void pool_group::close_idle_unheard_since(
+    std::chrono::steady_clock::time_point since)
+{
+    auto const candidates = this->idle; // close() removes from `idle`
+    for (auto const& entry : candidates) {
+        auto const connection = entry.lock();
+        if (connection && connection->heard_at() < since) {
+            ++this->core->counters.stale;
+            connection->close();
+        }
+    }
+}
+
 void pool_group::on_idle(std::shared_ptr<pool_connection> const& connection)
 {
     this->idle.emplace_back(connection);
--- a/libs/transport/src/pool_group.hpp
+++ b/libs/transport/src/pool_group.hpp
@@ -8,6 +8,7 @@
 #include "pool_exchange.hpp"
 
 #include <atomic>
+#include <chrono>
 #include <deque>
 #include <map>
 #include <memory>
@@ -64,6 +65,10 @@
     /// Fails everything.
     void stop();
 
+    /// Closes the idle connections that have told nothing since: a cut that
+    /// silenced one connection may have silenced those opened beside it.
+    void close_idle_unheard_since(std::chrono::steady_clock::time_point since);
+
     void on_idle(std::shared_ptr<pool_connection> const& connection);
     /// The connection can take no further request.
     void on_closed(pool_connection const* connection);
--- a/libs/transport/tests/http_client_pool_test.cpp
+++ b/libs/transport/tests/http_client_pool_test.cpp
@@ -1,5 +1,6 @@
 #include "foxtaillift/transport/http_client_pool.hpp"
 #include "foxtaillift/transport/http_server.hpp"
+#include "relay.hpp"
 #include "scripted_server.hpp"
 #include "support.hpp"
 
@@ -298,6 +299,68 @@
     threads.stop();
 }
 
+// Guards against requests that time out one after the other on connections
+// that went silent together (review/4: hosts kept an old configuration).
+TEST_CASE("one silent connection costs the others of its time no request")
+{
+    runner threads;
+    inbox requests;
+    http_server server{threads.io, {}, requests.handler()};
+    relay between{threads.io, server.port()};
+    http_client_pool pool{threads.io, {.connections_per_address = 8}};
+    std::vector<exchange_receiver> answers(8);
+    for (auto& answer : answers) {
+        pool.send(
+            local_address(between.port()), {}, base::seconds(20),
+            answer.callback());
+    }
+    REQUIRE(requests.wait_for(answers.size()));
+    for (std::size_t i = 0; i < answers.size(); ++i) {
+        requests.reply(i).send({});
+    }
+    for (auto& answer : answers) {
+        CHECK(answer.get().outcome == delivery::answered);
+    }
+    between.silence_open();
+    auto const lost =
+        exchange(pool, between.port(), {}, base::milliseconds(100));
+    CHECK(lost.outcome == delivery::sent_unknown);
+    CHECK(lost.reason == failure_reason::deadline);
+    exchange_receiver next;
+    pool.send(
+        local_address(between.port()), {}, base::seconds(20), next.callback());
+    REQUIRE(requests.wait_for(answers.size() + 1));
+    requests.reply(answers.size()).send({.body = "new"});
+    CHECK(next.get().answer.body == "new");
+    CHECK(pool.statistics().connections_opened == answers.size() + 1);
+    threads.stop();
+}
+
+// Guards against new connections where one answer alone was late.
+TEST_CASE("connections that answer are kept beside one that times out")
+{
+    runner threads;
+    inbox requests;
+    http_server server{threads.io, {}, requests.handler()};
+    http_client_pool pool{threads.io, {.connections_per_address = 8}};
+    auto const address = local_address(server.port());
+    exchange_receiver late, quick;
+    pool.send(address, {}, base::milliseconds(300), late.callback());
+    REQUIRE(requests.wait_for(1));
+    pool.send(address, {}, base::seconds(20), quick.callback());
+    REQUIRE(requests.wait_for(2));
+    requests.reply(1).send({});
+    CHECK(quick.get().outcome == delivery::answered);
+    CHECK(late.get().reason == failure_reason::deadline);
+    exchange_receiver next;
+    pool.send(address, {}, base::seconds(20), next.callback());
+    REQUIRE(requests.wait_for(3));
+    requests.reply(2).send({});
+    CHECK(next.get().outcome == delivery::answered);
+    CHECK(pool.statistics().connections_opened == 2);
+    threads.stop();
+}
+
 // Guards against connections that stay open unused or after a stop.
 TEST_CASE("idle connections are closed, and all of them by a stop")
 {
--- a/libs/transport/tests/relay.hpp
+++ b/libs/transport/tests/relay.hpp
@@ -34,6 +34,18 @@
 
     /// Discards everything that passes, in both directions, without a reset.
     void set_silent(bool value) { this->is_silent = value; }
+    /// Does so for good on the connections that are open now; others work.
+    void silence_open()
+    {
+        std::promise<void> done;
+        net::post(this->strand, [&] {
+            for (auto const& entry : this->pairs) {
+                entry->is_silent = true;
+            }
+            done.set_value();
+        });
+        done.get_future().wait();
+    }
     /// Forwards at most this much a millisecond and connection; 0: no bound.
     void set_bytes_per_ms(std::size_t value) { this->rate = value; }
     /// Closes the connections that are open now.
@@ -68,6 +80,7 @@
         net::steady_timer down_timer;
         std::array<char, 16UL * 1024> up{};
         std::array<char, 16UL * 1024> down{};
+        bool is_silent = false;
     };
     using pair_pointer = std::shared_ptr<pair>;
 
@@ -120,7 +133,7 @@
              &timer](auto failure, std::size_t count) {
                 if (failure) {
                     // A silent relay does not pass on that a side has closed.
-                    if (!this->is_silent) {
+                    if (!this->is_silent && !entry->is_silent) {
                         this->close(entry);
                     }
                     return;
@@ -141,7 +154,7 @@
                             this->pump(entry, from, to, buffer, timer);
                         });
                 };
-                if (this->is_silent) {
+                if (this->is_silent || entry->is_silent) {
                     this->pump(entry, from, to, buffer, timer);
                 } else {
                     net::async_write(
