Record the terms of its queue with each job

Cause: a job held the name of its queue only. Jobs whose queue the newest configuration does not name were passed over by the placing, without a line in the log, and a successor that had never seen the older version could not know their terms at all. The same held for routes that were dropped, and for the limit of attempts.

Change: the host that accepts a job records its queue with it: service, priority, attempts, objective, adviser, address. While the configuration names the queue its newest terms hold, and those of the job otherwise. A count of waiting jobs includes those of a dropped queue at the same address. A leader that has read no configuration yet waits as before. queue_dropped in the log gives the unfinished jobs of a dropped queue, and those without terms, which an older version accepted: they wait until a queue of their name is back.

Tests: jobs_test "jobs of a renamed queue end under a successor of their leader", which failed on the code before, "jobs go on when a configuration no longer names their queue" and "stored jobs and progress are read back whole".

--- a/libs/jobs/include/foxtaillift/jobs/coordinator.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/coordinator.hpp
@@ -60,10 +60,12 @@
         this->running->unlist_worker(worker);
     }
 
-    /// Makes the job durable. `deadline` bounds the time until the callback.
-    void submit(
-        job_spec const& job, base::duration deadline, outcome_callback callback)
+    /// Makes the job durable, with the terms of its queue. `deadline` bounds
+    /// the time until the callback.
+    void
+    submit(job_spec job, base::duration deadline, outcome_callback callback)
     {
+        job.terms = this->host->configuration.find_queue(job.queue);
         this->submissions->submit(job, deadline, std::move(callback));
     }
 
--- a/libs/jobs/include/foxtaillift/jobs/fleet.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/fleet.hpp
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -31,6 +32,8 @@
     [[nodiscard]] queue_route const*
     find(std::string_view host, std::string_view path) const;
     [[nodiscard]] std::vector<queue> queues() const;
+    /// The queue of this name, if there is one.
+    [[nodiscard]] std::optional<queue> find_queue(std::string_view name) const;
 };
 
 } // namespace foxtaillift::jobs
--- a/libs/jobs/include/foxtaillift/jobs/job.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/job.hpp
@@ -53,10 +53,37 @@
     std::optional<std::uint32_t> max_unavailable{};
 };
 
+/// A service outside that knows which workers may run a step, and the time that
+/// its answers take.
+struct adviser_terms
+{
+    base::duration decision{};  ///< of a call
+    base::duration by_worker{}; ///< more for each worker that is asked about
+    base::duration validity{};  ///< of a ticket
+};
+
+/// A queue of jobs, from the fleet configuration.
+struct queue
+{
+    std::string name{};
+    /// Host name and path prefix at which callers find it, "host/prefix/".
+    std::string address{};
+    std::string service{};          ///< whose workers run its tasks
+    std::int64_t priority = 0;      ///< 0 is served first
+    std::uint32_t max_attempts = 1; ///< failed runs until a job fails
+    double target_factor = 1;       ///< of the longest chain of work
+    base::duration target_latency{};
+    /// Starts need a ticket of this service; without a value they need none.
+    std::optional<adviser_terms> adviser{};
+};
+
 struct job_spec
 {
     std::string id{};
-    std::string queue{};   ///< name of the queue that took it
+    std::string queue{}; ///< name of the queue that took it
+    /// The queue as it was then. A configuration may drop it or give it another
+    /// name; its jobs are still owed, on these terms.
+    std::optional<jobs::queue> terms{};
     std::string payload{}; ///< opaque text that every start carries
     std::vector<step> steps{};
     std::uint32_t repeats = 0;     ///< occurrences; 0: runs once, untimed
@@ -112,28 +139,6 @@
 /// Returns nothing if the text has another form.
 std::optional<task_name> parse_task_name(std::string_view text);
 
-/// A service outside that knows which workers may run a step, and the time that
-/// its answers take.
-struct adviser_terms
-{
-    base::duration decision{};  ///< of a call
-    base::duration by_worker{}; ///< more for each worker that is asked about
-    base::duration validity{};  ///< of a ticket
-};
-
-/// A queue of jobs, from the fleet configuration.
-struct queue
-{
-    std::string name{};
-    std::string service{};          ///< whose workers run its tasks
-    std::int64_t priority = 0;      ///< 0 is served first
-    std::uint32_t max_attempts = 1; ///< failed runs until a job fails
-    double target_factor = 1;       ///< of the longest chain of work
-    base::duration target_latency{};
-    /// Starts need a ticket of this service; without a value they need none.
-    std::optional<adviser_terms> adviser{};
-};
-
 enum class job_state
 {
     queued,
--- a/libs/jobs/include/foxtaillift/jobs/leader.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/leader.hpp
@@ -111,7 +111,9 @@
 
     void set_fleet(fleet_configuration const& fleet)
     {
-        this->decisions.set_queues(fleet.queues());
+        if (fleet.version > 0) {
+            this->decisions.set_queues(fleet.queues());
+        }
         this->wake();
     }
 
--- a/libs/jobs/include/foxtaillift/jobs/operator_interface.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/operator_interface.hpp
@@ -69,12 +69,7 @@
             answer(make_refusal(400, "invalid_job", failure.what()));
             return;
         }
-        auto const queues = this->service->fleet().queues();
-        bool const is_known =
-            std::any_of(queues.begin(), queues.end(), [&](queue const& each) {
-                return each.name == job.queue;
-            });
-        if (!is_known) {
+        if (!this->service->fleet().find_queue(job.queue)) {
             answer(make_refusal(
                 404, "unknown_queue",
                 "no queue of the configuration in force has the name \"" +
--- a/libs/jobs/include/foxtaillift/jobs/scheduler.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/scheduler.hpp
@@ -191,6 +191,8 @@
     /// The durable state, or nothing if the job is unknown here.
     [[nodiscard]] std::optional<job_state> state_of(std::string_view job) const;
     /// Accepted jobs of a queue, without timed ones, of which nothing started.
+    /// Those of a queue that the configuration does not name any more count for
+    /// the one that has its address now.
     [[nodiscard]] std::size_t pending(std::string_view queue) const;
     /// True if more than half of the workers have answered a look that was
     /// sent at `since` or later.
--- a/libs/jobs/src/progress.cpp
+++ b/libs/jobs/src/progress.cpp
@@ -63,6 +63,43 @@
     return result;
 }
 
+json to_json(queue const& terms)
+{
+    json object = {{"svc", terms.service}};
+    add(object, "at", terms.address);
+    add(object, "prio", terms.priority);
+    object["tries"] = terms.max_attempts;
+    object["factor"] = terms.target_factor;
+    add(object, "target", terms.target_latency.ms);
+    if (terms.adviser) {
+        object["adviser"] = {
+            terms.adviser->decision.ms, terms.adviser->by_worker.ms,
+            terms.adviser->validity.ms};
+    }
+    return object;
+}
+
+queue terms_from(json const& object, std::string name)
+{
+    queue result{
+        .name = std::move(name),
+        .address = object.value("at", std::string{}),
+        .service = object.at("svc"),
+        .priority = object.value("prio", std::int64_t{0}),
+        .max_attempts = object.at("tries"),
+        .target_factor = object.at("factor"),
+        .target_latency =
+            base::milliseconds(object.value("target", std::int64_t{0}))};
+    if (object.contains("adviser")) {
+        auto const& times = object.at("adviser");
+        result.adviser = adviser_terms{
+            .decision = base::milliseconds(times.at(0).get<std::int64_t>()),
+            .by_worker = base::milliseconds(times.at(1).get<std::int64_t>()),
+            .validity = base::milliseconds(times.at(2).get<std::int64_t>())};
+    }
+    return result;
+}
+
 std::string pack_bits(std::vector<bool> const& bits)
 {
     std::string bytes((bits.size() + bits_per_byte - 1) / bits_per_byte, '\0');
@@ -100,6 +137,9 @@
     add(object, "repeats", job.repeats);
     add(object, "due", job.first_due_ms);
     add(object, "every", job.repeat_interval_ms);
+    if (job.terms) {
+        object["terms"] = to_json(*job.terms);
+    }
     return pack(object);
 }
 
@@ -116,6 +156,9 @@
         job.repeats = object.value("repeats", std::uint32_t{0});
         job.first_due_ms = object.value("due", std::int64_t{0});
         job.repeat_interval_ms = object.value("every", std::int64_t{0});
+        if (object.contains("terms")) {
+            job.terms = terms_from(object.at("terms"), job.queue);
+        }
         return job;
     });
 }
--- a/libs/jobs/src/scheduler.cpp
+++ b/libs/jobs/src/scheduler.cpp
@@ -212,10 +212,9 @@
 {
     std::size_t count = 0;
     for (auto const& [id, job] : this->impl->jobs) {
-        count += job->spec.queue == queue && !job->is_started &&
-                         job->spec.repeats == 0 && !is_final(job->state)
-                     ? 1
-                     : 0;
+        bool const is_waiting =
+            !job->is_started && job->spec.repeats == 0 && !is_final(job->state);
+        count += is_waiting && this->impl->is_asked_for(*job, queue) ? 1 : 0;
     }
     return count;
 }
--- a/libs/jobs/src/scheduler_core.hpp
+++ b/libs/jobs/src/scheduler_core.hpp
@@ -244,7 +244,12 @@
     void adopt_orphans(job_entry& job, base::instant now);
     [[nodiscard]] occupancy occupancy_of(step const& step);
     void log(base::event_line const& line) const;
+    /// By the configuration, or by the job's own terms if that does not name
+    /// its queue; null if neither is known.
     [[nodiscard]] queue const* queue_of(job_entry const& job) const;
+    /// Callers who ask for the queue of this name mean this job, too.
+    [[nodiscard]] bool
+    is_asked_for(job_entry const& job, std::string_view queue) const;
     /// New tasks may start there, by all that is known of the worker.
     [[nodiscard]] static bool
     is_usable(worker_entry const& worker, base::instant now);
@@ -254,6 +259,7 @@
 
     scheduler_options options;
     std::map<std::string, queue, std::less<>> queues;
+    bool is_configured = false; ///< `queues` are known
     text_map<std::unique_ptr<job_entry>> jobs;
     /// States of jobs whose rows are gone, oldest first in `ended_order`.
     text_map<job_state> ended;
@@ -290,6 +296,9 @@
     std::optional<base::instant> majority_at{};
 
 private:
+    // scheduler_jobs.cpp
+    void log_dropped(std::string_view queue) const;
+
     // scheduler_reports.cpp
     void take_report(
         std::size_t worker,
--- a/libs/jobs/src/scheduler_jobs.cpp
+++ b/libs/jobs/src/scheduler_jobs.cpp
@@ -40,11 +40,17 @@
 
 void scheduler::implementation::set_queues(std::vector<queue> list)
 {
-    this->queues.clear();
+    auto const before = std::exchange(this->queues, {});
     for (auto& entry : list) {
         auto name = entry.name;
         this->queues.emplace(std::move(name), std::move(entry));
     }
+    this->is_configured = true;
+    for (auto const& [name, dropped] : before) {
+        if (!this->queues.contains(name)) {
+            this->log_dropped(name);
+        }
+    }
     // Ends may be reported before the first configuration is known.
     for (auto& [id, job] : this->jobs) {
         for (std::size_t i = 0; i < job->tasks.size(); ++i) {
@@ -53,10 +59,42 @@
     }
 }
 
+void scheduler::implementation::log_dropped(std::string_view queue) const
+{
+    std::size_t unfinished = 0;
+    std::size_t without_terms = 0;
+    for (auto const& [id, job] : this->jobs) {
+        if (job->spec.queue == queue && !is_final(job->state)) {
+            ++unfinished;
+            without_terms += job->spec.terms ? 0 : 1;
+        }
+    }
+    this->log(base::event_line{"queue_dropped"}
+                  .add("queue", queue)
+                  .add("unfinished_jobs", unfinished)
+                  .add("without_terms", without_terms));
+}
+
 queue const* scheduler::implementation::queue_of(job_entry const& job) const
 {
     auto const found = this->queues.find(job.spec.queue);
-    return found == this->queues.end() ? nullptr : &found->second;
+    if (found != this->queues.end()) {
+        return &found->second;
+    }
+    // Before a configuration is known, the queue may still be there.
+    return this->is_configured && job.spec.terms ? &*job.spec.terms : nullptr;
+}
+
+bool scheduler::implementation::is_asked_for(
+    job_entry const& job, std::string_view queue) const
+{
+    if (job.spec.queue == queue) {
+        return true;
+    }
+    auto const asked = this->queues.find(queue);
+    return job.spec.terms && asked != this->queues.end() &&
+           !this->queues.contains(job.spec.queue) &&
+           job.spec.terms->address == asked->second.address;
 }
 
 job_entry* scheduler::implementation::find_job(std::string_view id)
--- a/libs/jobs/tests/job_test.cpp
+++ b/libs/jobs/tests/job_test.cpp
@@ -106,8 +106,35 @@
     job.repeats = 3;
     job.first_due_ms = 5;
     job.repeat_interval_ms = 7;
+    job.terms = queue{
+        .name = "q",
+        .address = "h/q/",
+        .service = "s",
+        .priority = 2,
+        .max_attempts = 3,
+        .target_factor = 1.5,
+        .target_latency = base::milliseconds(900),
+        .adviser = adviser_terms{
+            .decision = base::milliseconds(1),
+            .by_worker = base::milliseconds(2),
+            .validity = base::milliseconds(3)}};
     auto const read = decode_job(encode(job));
     CHECK(encode(read) == encode(job));
+    REQUIRE(read.terms);
+    CHECK(read.terms->name == "q");
+    CHECK(read.terms->address == "h/q/");
+    CHECK(read.terms->service == "s");
+    CHECK(read.terms->priority == 2);
+    CHECK(read.terms->max_attempts == 3);
+    CHECK(read.terms->target_factor == 1.5);
+    CHECK(read.terms->target_latency == base::milliseconds(900));
+    REQUIRE(read.terms->adviser);
+    CHECK(read.terms->adviser->decision == base::milliseconds(1));
+    CHECK(read.terms->adviser->by_worker == base::milliseconds(2));
+    CHECK(read.terms->adviser->validity == base::milliseconds(3));
+    // Rows of hosts that recorded no terms.
+    job.terms.reset();
+    CHECK_FALSE(decode_job(encode(job)).terms);
     CHECK(read.steps[1].max_unavailable == 0U);
     CHECK(read.steps[0].need == job.steps[0].need);
     CHECK(read.steps[0].estimate == job.steps[0].estimate);
--- a/libs/jobs/tests/scheduler_test.cpp
+++ b/libs/jobs/tests/scheduler_test.cpp
@@ -131,6 +131,49 @@
     CHECK(test.decisions.state_of("j") == job_state::failed);
 }
 
+// Guards against LOST: jobs of a route that a configuration dropped or gave
+// another name stood still for good (review/5).
+TEST_CASE("jobs go on when a configuration no longer names their queue")
+{
+    fixture test;
+    queue const terms{
+        .name = "q", .address = "h/q/", .service = "s", .max_attempts = 2};
+    test.list("a");
+    test.take<look_order>();
+    test.answer("a", test.report());
+    auto const add = [&](std::string const& id) {
+        test.decisions.add_job(
+            {.id = id,
+             .queue = "q",
+             .terms = terms,
+             .steps = {{.count = 1, .need = {.processors = 1000}}}},
+            std::nullopt, test.now);
+    };
+    add("j");
+    auto renamed = terms;
+    renamed.name = "r";
+    test.decisions.set_queues({renamed});
+    CHECK(test.decisions.pending("r") == 1);
+    auto const starts = test.take<start_order>();
+    REQUIRE(starts.size() == 1);
+    CHECK(starts[0].worker == "a");
+    test.decisions.set_queues({});
+    add("k");
+    CHECK(test.take<start_order>().size() == 1);
+    CHECK(test.decisions.pending("r") == 0);
+    // Its terms still limit its attempts.
+    auto report = test.report();
+    for (std::uint32_t attempt = 1; attempt <= 2; ++attempt) {
+        report.ended.push_back(
+            {.number = attempt,
+             .run = {{.job = "j"}, attempt},
+             .outcome = run_outcome::failed});
+    }
+    test.answer("a", report);
+    test.decisions.on_committed(test.decisions.take_commit(100));
+    CHECK(test.decisions.state_of("j") == job_state::failed);
+}
+
 // The pattern: orders to workers that get no answer (applied_late, answer_lost)
 // while a look waits for an end. Guards against a task of a short job that
 // starts again only after the look's wait of a second, two looks in a row.
--- a/libs/jobs/tests/simulated_world.cpp
+++ b/libs/jobs/tests/simulated_world.cpp
@@ -193,14 +193,22 @@
                            host->service.get()](worker_info const& worker) {
         service->list_worker(worker);
     };
-    fleet_configuration fleet{.version = 1};
-    fleet.routes.push_back(
-        {.target = {.name = "q", .service = "s", .max_attempts = 3}});
-    host->service->set_fleet(std::move(fleet));
+    host->service->set_fleet(this->configuration);
     host->service->start();
     this->hosts[index] = std::move(host);
 }
 
+void simulated_world::rename_queue(std::string const& name)
+{
+    ++this->configuration.version;
+    this->configuration.routes.front().target.name = name;
+    for (auto const& host : this->hosts) {
+        if (host) {
+            host->service->set_fleet(this->configuration);
+        }
+    }
+}
+
 void simulated_world::note_effect(std::string const& host)
 {
     constexpr base::duration restart_gap = base::seconds(1);
@@ -267,7 +275,8 @@
     if (!this->hosts[host]) {
         return;
     }
-    job_spec job{.id = id, .queue = "q"};
+    job_spec job{
+        .id = id, .queue = this->configuration.routes.front().target.name};
     job.payload.assign(payload_bytes, 'x');
     resources const need{.processors = 900, .memory_mb = 10};
     job.steps.push_back({.count = tasks, .need = need});
--- a/libs/jobs/tests/simulated_world.hpp
+++ b/libs/jobs/tests/simulated_world.hpp
@@ -180,6 +180,8 @@
         std::uint32_t tasks,
         std::size_t payload_bytes = 0);
     void run_for(base::duration span);
+    /// All hosts learn of a configuration that gives the queue this name.
+    void rename_queue(std::string const& name);
     /// Through this host; `cancelled` tells whether it was confirmed.
     void cancel(std::size_t host, std::string const& id);
     /// Lists the worker so; each host learns of it some time later.
@@ -214,6 +216,12 @@
     std::size_t crash_at_effect = 0;
     std::function<void()> on_crash{}; ///< called then
     leader_options leading;
+    fleet_configuration configuration{
+        .version = 1,
+        .routes = {
+            {.host = "h",
+             .path_prefix = "/q/",
+             .target = {.name = "q", .service = "s", .max_attempts = 3}}}};
 
 private:
     friend class simulated_ports;
--- a/libs/jobs/tests/simulation_test.cpp
+++ b/libs/jobs/tests/simulation_test.cpp
@@ -306,6 +306,30 @@
     }
 }
 
+// Guards against LOST: a leader that has never seen the configuration which
+// accepted a job knew nothing of its queue (review/5).
+TEST_CASE("jobs of a renamed queue end under a successor of their leader")
+{
+    simulated_world world{1, {}};
+    world.run_for(base::seconds(3));
+    for (int i = 0; i < 12; ++i) {
+        world.submit(i % 3, "job" + std::to_string(i), 4);
+    }
+    world.run_for(base::milliseconds(300));
+    CHECK(world.accepted.size() == 12);
+    world.rename_queue("r");
+    world.run_for(base::milliseconds(100));
+    std::size_t leading = 0;
+    while (!world.hosts[leading]->service->is_leading()) {
+        ++leading;
+    }
+    world.kill_host(leading);
+    world.start_host(leading);
+    world.run_for(base::seconds(40));
+    CHECK(world.unfinished().empty());
+    CHECK(world.violations.empty());
+}
+
 // Guards against a count of 0 from a host that knows no leader, which callers
 // take for an empty queue.
 TEST_CASE("a count of waiting jobs that is unknown or old is not given")
