Keep idle connections beside a lost answer while others answer

A time-out closed all idle connections to its address that had told nothing since, also where a worker had only left one order unanswered.

Change: they stay if another connection that was open when the request was written has answered within the last 400 ms. A cut that silenced the request is older than that: every caller waits at least so long for an answer that is due.

Test: transport_test "idle connections are kept beside a lost answer while others answer".

--- a/libs/transport/include/foxtaillift/transport/http_client_pool.hpp
+++ b/libs/transport/include/foxtaillift/transport/http_client_pool.hpp
@@ -49,9 +49,10 @@
 /// goes to a new connection. Once a byte was accepted, a close without an
 /// answer is `sent_unknown`: TCP cannot tell whether the server had read it.
 ///
-/// A request whose time runs out before a byte of its answer came closes the
-/// idle connections to its address that have told nothing since it was written:
-/// connections can go silent together, without a reset.
+/// Connections can go silent together, without a reset. So a request whose time
+/// runs out before a byte of its answer came closes the idle connections to its
+/// address that have told nothing since it was written, unless another one that
+/// was open then has answered within the last 400 ms.
 ///
 /// An answer counts only if its whole body arrived. Without Content-Length or
 /// chunked coding the end of a body is not certain, so such an answer is
--- a/libs/transport/src/pool_connection.cpp
+++ b/libs/transport/src/pool_connection.cpp
@@ -90,7 +90,8 @@
     ++this->timer_number;
     ++this->group->core->counters.opened;
     this->is_connected = true;
-    this->heard = std::chrono::steady_clock::now();
+    this->opened = std::chrono::steady_clock::now();
+    this->heard = this->opened;
     tune(this->socket, tcp::no_delay(true));
     tune(
         this->socket, user_timeout_option(static_cast<int>(
@@ -276,7 +277,7 @@
 void pool_connection::report_silence()
 {
     if (this->is_connected && this->heard < this->written) {
-        this->group->close_idle_unheard_since(this->written);
+        this->group->on_silence(this->written);
     }
 }
 
--- a/libs/transport/src/pool_connection.hpp
+++ b/libs/transport/src/pool_connection.hpp
@@ -32,6 +32,11 @@
     /// server, as far as the kernel knows at this moment.
     [[nodiscard]] bool is_usable();
 
+    /// When its server accepted it.
+    [[nodiscard]] std::chrono::steady_clock::time_point opened_at() const
+    {
+        return this->opened;
+    }
     /// When its server last accepted it or sent anything.
     [[nodiscard]] std::chrono::steady_clock::time_point heard_at() const
     {
@@ -75,6 +80,7 @@
     bool is_writing = false;
     bool is_answered = false;       ///< the answer came before the write's end
     std::size_t accepted_bytes = 0; ///< of the request, by the kernel
+    std::chrono::steady_clock::time_point opened{};
     std::chrono::steady_clock::time_point heard{};
     std::chrono::steady_clock::time_point written{}; ///< last request's start
     failure_reason fault = failure_reason::none;
--- a/libs/transport/src/pool_group.cpp
+++ b/libs/transport/src/pool_group.cpp
@@ -5,6 +5,15 @@
 namespace foxtaillift::transport
 {
 
+namespace
+{
+
+/// A cut that silenced a request is older than its time-out by more than this:
+/// callers wait at least so long for an answer that is due.
+constexpr base::duration answered_lately = base::milliseconds(400);
+
+} // namespace
+
 pool_core::pool_core(
     net::io_context& context, http_client_pool_options pool_options)
     : io(context)
@@ -136,13 +145,21 @@
     }
 }
 
-void pool_group::close_idle_unheard_since(
-    std::chrono::steady_clock::time_point since)
+void pool_group::on_silence(std::chrono::steady_clock::time_point written)
 {
+    auto const recent =
+        std::chrono::steady_clock::now() - answered_lately.to_chrono();
+    for (auto const& [key, entry] : this->open) {
+        auto const connection = entry.lock();
+        if (connection && connection->opened_at() < written &&
+            connection->heard_at() > std::max(written, recent)) {
+            return; // one answer is lost, not the path
+        }
+    }
     auto const candidates = this->idle; // close() removes from `idle`
     for (auto const& entry : candidates) {
         auto const connection = entry.lock();
-        if (connection && connection->heard_at() < since) {
+        if (connection && connection->heard_at() < written) {
             ++this->core->counters.stale;
             connection->close();
         }
--- a/libs/transport/src/pool_group.hpp
+++ b/libs/transport/src/pool_group.hpp
@@ -65,9 +65,11 @@
     /// Fails everything.
     void stop();
 
-    /// Closes the idle connections that have told nothing since: a cut that
-    /// silenced one connection may have silenced those opened beside it.
-    void close_idle_unheard_since(std::chrono::steady_clock::time_point since);
+    /// A request that was written then had no answer in its time. Closes the
+    /// idle connections that have told nothing since, as a cut may have
+    /// silenced them too, unless another connection of that time has answered
+    /// lately.
+    void on_silence(std::chrono::steady_clock::time_point written);
 
     void on_idle(std::shared_ptr<pool_connection> const& connection);
     /// The connection can take no further request.
--- a/libs/transport/tests/http_client_pool_test.cpp
+++ b/libs/transport/tests/http_client_pool_test.cpp
@@ -336,28 +336,46 @@
     threads.stop();
 }
 
-// Guards against new connections where one answer alone was late.
-TEST_CASE("connections that answer are kept beside one that times out")
+// The pattern: orders to workers whose answers are lost or come seconds later
+// (applied_late). Guards against new connections in place of sound ones.
+TEST_CASE("idle connections are kept beside a lost answer while others answer")
 {
     runner threads;
     inbox requests;
     http_server server{threads.io, {}, requests.handler()};
     http_client_pool pool{threads.io, {.connections_per_address = 8}};
     auto const address = local_address(server.port());
+    std::vector<exchange_receiver> first(3);
+    for (auto& answer : first) {
+        pool.send(address, {}, base::seconds(20), answer.callback());
+    }
+    REQUIRE(requests.wait_for(3));
+    for (std::size_t i = 0; i < 3; ++i) {
+        requests.reply(i).send({});
+    }
+    for (auto& answer : first) {
+        CHECK(answer.get().outcome == delivery::answered);
+    }
+    // Of the three connections one is not answered, one is, and one is idle.
     exchange_receiver late, quick;
     pool.send(address, {}, base::milliseconds(300), late.callback());
-    REQUIRE(requests.wait_for(1));
+    REQUIRE(requests.wait_for(4));
     pool.send(address, {}, base::seconds(20), quick.callback());
-    REQUIRE(requests.wait_for(2));
-    requests.reply(1).send({});
+    REQUIRE(requests.wait_for(5));
+    requests.reply(4).send({});
     CHECK(quick.get().outcome == delivery::answered);
     CHECK(late.get().reason == failure_reason::deadline);
-    exchange_receiver next;
-    pool.send(address, {}, base::seconds(20), next.callback());
-    REQUIRE(requests.wait_for(3));
-    requests.reply(2).send({});
-    CHECK(next.get().outcome == delivery::answered);
-    CHECK(pool.statistics().connections_opened == 2);
+    std::vector<exchange_receiver> next(2);
+    for (auto& answer : next) {
+        pool.send(address, {}, base::seconds(20), answer.callback());
+    }
+    REQUIRE(requests.wait_for(7));
+    requests.reply(5).send({});
+    requests.reply(6).send({});
+    for (auto& answer : next) {
+        CHECK(answer.get().outcome == delivery::answered);
+    }
+    CHECK(pool.statistics().connections_opened == 3);
     threads.stop();
 }
 
