Log dropped queues in one pass, and only those with unfinished jobs

A configuration that drops a thousand idle routes would have compared each of them with all jobs and written as many lines. Found in reading the change.

--- a/libs/jobs/src/scheduler_core.hpp
+++ b/libs/jobs/src/scheduler_core.hpp
@@ -297,7 +297,8 @@
 
 private:
     // scheduler_jobs.cpp
-    void log_dropped(std::string_view queue) const;
+    /// Queues of unfinished jobs that the configuration does not name.
+    void log_dropped_queues() const;
 
     // scheduler_reports.cpp
     void take_report(
--- a/libs/jobs/src/scheduler_jobs.cpp
+++ b/libs/jobs/src/scheduler_jobs.cpp
@@ -40,17 +40,13 @@
 
 void scheduler::implementation::set_queues(std::vector<queue> list)
 {
-    auto const before = std::exchange(this->queues, {});
+    this->queues.clear();
     for (auto& entry : list) {
         auto name = entry.name;
         this->queues.emplace(std::move(name), std::move(entry));
     }
     this->is_configured = true;
-    for (auto const& [name, dropped] : before) {
-        if (!this->queues.contains(name)) {
-            this->log_dropped(name);
-        }
-    }
+    this->log_dropped_queues();
     // Ends may be reported before the first configuration is known.
     for (auto& [id, job] : this->jobs) {
         for (std::size_t i = 0; i < job->tasks.size(); ++i) {
@@ -59,20 +55,27 @@
     }
 }
 
-void scheduler::implementation::log_dropped(std::string_view queue) const
+void scheduler::implementation::log_dropped_queues() const
 {
-    std::size_t unfinished = 0;
-    std::size_t without_terms = 0;
+    struct job_counts
+    {
+        std::size_t unfinished = 0;
+        std::size_t without_terms = 0;
+    };
+    std::map<std::string_view, job_counts> dropped;
     for (auto const& [id, job] : this->jobs) {
-        if (job->spec.queue == queue && !is_final(job->state)) {
-            ++unfinished;
-            without_terms += job->spec.terms ? 0 : 1;
+        if (!is_final(job->state) && !this->queues.contains(job->spec.queue)) {
+            auto& counts = dropped[job->spec.queue];
+            ++counts.unfinished;
+            counts.without_terms += job->spec.terms ? 0 : 1;
         }
     }
-    this->log(base::event_line{"queue_dropped"}
-                  .add("queue", queue)
-                  .add("unfinished_jobs", unfinished)
-                  .add("without_terms", without_terms));
+    for (auto const& [name, counts] : dropped) {
+        this->log(base::event_line{"queue_dropped"}
+                      .add("queue", name)
+                      .add("unfinished_jobs", counts.unfinished)
+                      .add("without_terms", counts.without_terms));
+    }
 }
 
 queue const* scheduler::implementation::queue_of(job_entry const& job) const
