Bound the polls while answers are lost at 2,000 a second

With 1,000, fleets from 300 workers on were asked less often than before, the grown Directorate (490 workers) among them.

Test: "while answers are lost, a large fleet is not asked more often" with 1,800 workers, whose bound is the same 900 ms and more.

--- a/libs/jobs/src/scheduler_orders.cpp
+++ b/libs/jobs/src/scheduler_orders.cpp
@@ -39,7 +39,7 @@
 
 /// Looks a second that such waits may cause in all. The reports of a large
 /// fleet would take the processor time that its starts need.
-constexpr std::int64_t lossy_looks_per_second = 1000;
+constexpr std::int64_t lossy_looks_per_second = 2000;
 
 base::duration lossy_wait_of(std::size_t workers)
 {
