Log why each lost run counts as over, and what a takeover rests on

The users' record of tasks that ran twice holds the lines that name the task, but the line that tells why its first run was given up (runs_lost) names the worker only. Each lost run has a line of its own now, a second run_start repeats why the run before it counted as over, and a takeover logs the closed workers that it inherits, when it has heard a majority, and ends of jobs that it does not know.

--- a/libs/jobs/src/job_table.cpp
+++ b/libs/jobs/src/job_table.cpp
@@ -5,6 +5,25 @@
 namespace foxtaillift::jobs
 {
 
+std::string_view to_string(run_release reason)
+{
+    switch (reason) {
+    case run_release::none:
+        return "none";
+    case run_release::ended:
+        return "ended";
+    case run_release::absent:
+        return "absent";
+    case run_release::not_started:
+        return "not_started";
+    case run_release::lease_over:
+        return "lease_over";
+    case run_release::other_worker:
+        return "other_worker";
+    }
+    return "none";
+}
+
 namespace
 {
 
--- a/libs/jobs/src/job_table.hpp
+++ b/libs/jobs/src/job_table.hpp
@@ -13,6 +13,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace foxtaillift::jobs
@@ -52,6 +53,19 @@
     std::optional<base::instant> stop_confirmed_at{};
 };
 
+/// Why a run of a task counts as over.
+enum class run_release
+{
+    none,         ///< the task has had no run
+    ended,        ///< its worker listed the end
+    absent,       ///< its worker does not list it any more
+    not_started,  ///< the start was refused
+    lease_over,   ///< nothing can run under the leases of its worker
+    other_worker, ///< another worker answers at the address
+};
+
+std::string_view to_string(run_release reason);
+
 struct task_entry
 {
     bool is_done = false;
@@ -60,6 +74,7 @@
     std::string checkpoint{};
     base::instant not_before{};
     base::instant idle_since{}; ///< when its last run was closed
+    run_release released_by = run_release::none; ///< its last run
     std::optional<std::size_t> avoided_worker{}; ///< where it failed last
     std::vector<run_entry> runs{};
 };
--- a/libs/jobs/src/scheduler_closing.cpp
+++ b/libs/jobs/src/scheduler_closing.cpp
@@ -111,6 +111,12 @@
         }
         auto& worker = this->workers[*index];
         worker.is_closed = true;
+        base::event_line line{"worker_inherited_closed"};
+        line.add("worker", each.id).add("runs", each.runs.size());
+        if (each.lease_age) {
+            line.add("lease_age_ms", *each.lease_age);
+        }
+        this->log(line);
         if (each.lease_age) {
             worker.is_lease_closed = true;
             worker.granted_at = now - *each.lease_age;
--- a/libs/jobs/src/scheduler_core.hpp
+++ b/libs/jobs/src/scheduler_core.hpp
@@ -234,11 +234,12 @@
         job_entry& job,
         std::size_t ordinal,
         std::size_t worker,
-        std::uint32_t attempt);
+        std::uint32_t attempt,
+        run_release reason);
     void stop_run(std::size_t worker, run_name const& run);
     void stop_all(job_entry& job);
     void end_job(job_entry& job, job_state state, std::string_view reason);
-    void lose_runs(std::size_t worker, std::string_view reason);
+    void lose_runs(std::size_t worker, run_release reason, base::instant now);
     void forget_orphan(std::size_t worker, run_name const& run);
     /// Takes over the runs of a job that were reported before its row.
     void adopt_orphans(job_entry& job, base::instant now);
--- a/libs/jobs/src/scheduler_jobs.cpp
+++ b/libs/jobs/src/scheduler_jobs.cpp
@@ -307,7 +307,8 @@
     job_entry& job,
     std::size_t ordinal,
     std::size_t worker,
-    std::uint32_t attempt)
+    std::uint32_t attempt,
+    run_release reason)
 {
     auto& task = job.tasks[ordinal];
     auto const found = std::find_if(
@@ -319,6 +320,7 @@
     }
     auto const name = job.name_of(ordinal);
     task.runs.erase(found);
+    task.released_by = reason;
     this->workers[worker].release({name, attempt});
     this->stops.erase({worker, {name, attempt}});
     --job.open_runs;
@@ -332,19 +334,29 @@
 }
 
 void scheduler::implementation::lose_runs(
-    std::size_t worker, std::string_view reason)
+    std::size_t worker, run_release reason, base::instant now)
 {
-    auto const runs = this->workers[worker].runs;
+    auto const& lost = this->workers[worker];
+    auto const runs = lost.runs;
     if (runs.empty()) {
         return;
     }
     this->log(base::event_line{"runs_lost"}
-                  .add("worker", this->workers[worker].info.id)
+                  .add("worker", lost.info.id)
                   .add("runs", runs.size())
-                  .add("reason", reason));
+                  .add("reason", to_string(reason))
+                  .add("heard", lost.is_heard)
+                  .add("silent_ms", now - lost.heard_at)
+                  .add("lease_age_ms", now - lost.granted_at));
     for (auto const& [run, taken] : runs) {
+        this->log(base::event_line{"run_lost"}
+                      .add("task", to_string(run.task))
+                      .add("attempt", run.attempt)
+                      .add("worker", lost.info.id)
+                      .add("reason", to_string(reason)));
         if (auto const place = this->find_task(run.task)) {
-            this->close_run(*place.job, place.ordinal, worker, run.attempt);
+            this->close_run(
+                *place.job, place.ordinal, worker, run.attempt, reason);
         } else {
             this->workers[worker].release(run);
             this->stops.erase({worker, run});
--- a/libs/jobs/src/scheduler_orders.cpp
+++ b/libs/jobs/src/scheduler_orders.cpp
@@ -92,6 +92,9 @@
         return;
     }
     this->majority_at = now;
+    this->log(base::event_line{"majority_heard"}
+                  .add("after_ms", now - *this->recovery_began)
+                  .add("workers", this->workers.size()));
     for (std::size_t i = 0; i < this->workers.size(); ++i) {
         auto& worker = this->workers[i];
         if (worker.is_lease_unknown) {
@@ -162,7 +165,7 @@
     for (std::size_t i = 0; i < this->workers.size(); ++i) {
         auto& worker = this->workers[i];
         if (worker.inherited_until && now > *worker.inherited_until) {
-            this->lose_runs(i, "its leases have run out");
+            this->lose_runs(i, run_release::lease_over, now);
             continue;
         }
         if (worker.silent_looks == 0 || worker.runs.empty() ||
@@ -171,7 +174,7 @@
         }
         if (worker.clock.earliest(now) >
             worker.leased_until_ms + lapse_margin.ms) {
-            this->lose_runs(i, "its leases have run out");
+            this->lose_runs(i, run_release::lease_over, now);
         }
     }
 }
--- a/libs/jobs/src/scheduler_placing.cpp
+++ b/libs/jobs/src/scheduler_placing.cpp
@@ -418,17 +418,22 @@
         this->set_first_pace(worker, {name, attempt});
     }
     auto const& task = job.tasks[ordinal];
-    this->log(base::event_line{"run_start"}
-                  .add("task", to_string(name))
-                  .add("attempt", attempt)
-                  .add("worker", worker.info.id)
-                  .add("image", wanted.image)
-                  .add("processors", wanted.need.processors)
-                  .add("used", worker.used.processors)
-                  .add("capacity", worker.info.capacity.processors)
-                  .add("report_age_ms", now - worker.heard_at)
-                  .add("checkpoint", task.checkpoint)
-                  .add("waited_ms", now - job.seen_at));
+    base::event_line line{"run_start"};
+    line.add("task", to_string(name))
+        .add("attempt", attempt)
+        .add("worker", worker.info.id)
+        .add("image", wanted.image)
+        .add("processors", wanted.need.processors)
+        .add("used", worker.used.processors)
+        .add("capacity", worker.info.capacity.processors)
+        .add("report_age_ms", now - worker.heard_at)
+        .add("checkpoint", task.checkpoint)
+        .add("waited_ms", now - job.seen_at);
+    if (attempt > 1 || job.is_inherited) {
+        line.add("released_by", to_string(task.released_by))
+            .add("inherited", job.is_inherited);
+    }
+    this->log(line);
     auto const* const advice = this->advice_on(job, name);
     this->awaited.push_back(
         {.worker = index,
--- a/libs/jobs/src/scheduler_reports.cpp
+++ b/libs/jobs/src/scheduler_reports.cpp
@@ -94,7 +94,7 @@
     }
     if (status == order_status::other_life) {
         worker.is_gone = true;
-        this->lose_runs(index, "another worker answers at its address");
+        this->lose_runs(index, run_release::other_worker, now);
         worker.look_due = now + longest_silent_gap;
         return;
     }
@@ -212,7 +212,16 @@
     if (!blocked) {
         blocked = now;
     }
-    return now - *blocked >= unknown_job_grace;
+    bool const is_given_up = now - *blocked >= unknown_job_grace;
+    if (is_given_up) {
+        this->log(base::event_line{"end_unclaimed"}
+                      .add("task", to_string(end.run.task))
+                      .add("attempt", end.run.attempt)
+                      .add("worker", this->workers[index].info.id)
+                      .add("number", end.number)
+                      .add("waited_ms", now - *blocked));
+    }
+    return is_given_up;
 }
 
 void scheduler::implementation::on_end(
@@ -236,7 +245,8 @@
         this->forget_orphan(index, end.run);
         return;
     }
-    this->close_run(*place.job, place.ordinal, index, end.run.attempt);
+    this->close_run(
+        *place.job, place.ordinal, index, end.run.attempt, run_release::ended);
     auto& task = place.job->tasks[place.ordinal];
     task.attempt = std::max(task.attempt, end.run.attempt);
     if (!end.checkpoint.empty() && end.checkpoint != task.checkpoint) {
@@ -462,7 +472,8 @@
                   .add("worker", worker.info.id)
                   .add("stop_confirmed", entry->stop_confirmed_at.has_value())
                   .add("since_start_ms", now - entry->started_at));
-    this->close_run(*job, *job->ordinal(run.task), index, run.attempt);
+    this->close_run(
+        *job, *job->ordinal(run.task), index, run.attempt, run_release::absent);
 }
 
 void scheduler::implementation::check_progress(
@@ -541,7 +552,8 @@
     }
     auto const ordinal = *job->ordinal(run.task);
     auto& task = job->tasks[ordinal];
-    this->close_run(*job, ordinal, index, run.attempt);
+    this->close_run(
+        *job, ordinal, index, run.attempt, run_release::not_started);
     task.not_before = now + refused_gap;
     if (status == order_status::no_ticket) {
         job->steps[job->step_slot(run.task)].advice.verdicts.erase(index);
