Record the lease of an earlier leader on a worker heard once

What callers could see: a task runs twice. A leader hears a worker once after its takeover, and the worker falls silent before it gets a lease of this leader. The record for a successor then told a lease of any age, since none had been sent in this leadership; a successor started the tasks there at once, while they ran on under the lease of an earlier leader, up to 6 s.

Cause: the age counts from `granted_at`, which only leases of this leader set. The first report sets the end of the longest lease of an earlier leader; it now sets that time as well.

--- a/libs/jobs/src/scheduler_reports.cpp
+++ b/libs/jobs/src/scheduler_reports.cpp
@@ -147,6 +147,7 @@
         // What runs there may have the longest lease of an earlier leader.
         worker.leased_until_ms =
             report.clock_ms + this->options.longest_lease.ms;
+        worker.granted_at = now;
     }
     worker.born_ms = report.born_ms;
     worker.is_heard = true;
