Acknowledge no end of a job whose row may still come

What callers could see: a task starts again after its end was taken note of (TWICE). A successor that hears of an end of a job that it does not know took the job for removed after 2 s and acknowledged the end. If the store did not answer for that long just after the takeover, the row came later, and the tasks that had ended started again: the worker had forgotten the end.

Cause: a span of time was taken as proof that a row does not exist. Now the rows must have been read up to a version that the store gave to a change of this leader, sent after the worker had listed the end; the job's row has a lower version, since its task ran before. The same holds before runs of unknown jobs are stopped, and each end waits by the time when it was listed, not when the first one was.

Four cases of scheduler_test now tell the scheduler that the store answers; what they check is as before.

--- a/libs/jobs/include/foxtaillift/jobs/leader.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/leader.hpp
@@ -375,8 +375,23 @@
     {
         auto const now = this->ports.now();
         if (this->decisions.is_fenced()) {
+    /// Tells the decisions up to which time the rows of jobs are known: a row
+    /// that was stored before a change of this leader has a lower version.
+    void note_jobs_read()
+    {
+        if (!this->awaited_change) {
+            this->awaited_change = this->writer->last_change();
+        }
+        if (this->jobs_follower->read_version() >=
+            this->awaited_change->version) {
+            this->decisions.on_jobs_read(this->awaited_change->sent_at);
+            this->awaited_change.reset();
+        }
+    }
+
             this->lose("a worker knows a higher token");
             return;
+        this->note_jobs_read();
         }
         bool const may_grant =
             !this->writer->is_giving_up() &&
@@ -410,6 +425,9 @@
     // Since the last line on the load.
     int decision_count = 0;
     base::duration deciding{}; ///< time of the decisions
+    /// Not known yet to be covered by the rows of jobs that were read.
+    std::optional<typename record_writer<Ports>::stored_change>
+        awaited_change{};
     bool is_awake = false;
     bool loaded = false;
     bool is_stopped = false;
--- a/libs/jobs/include/foxtaillift/jobs/record_writer.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/record_writer.hpp
@@ -184,6 +184,16 @@
         return this->ports.now() - this->renewed_at;
     }
     [[nodiscard]] lead_rows const& rows() const { return this->lead; }
+    /// A change that the store carried out after this time, with its version.
+    struct stored_change
+    {
+        base::instant sent_at{};
+        std::int64_t version = 0;
+    };
+    [[nodiscard]] stored_change const& last_change() const
+    {
+        return this->newest;
+    }
     [[nodiscard]] bool is_giving_up() const { return this->is_resigning; }
 
     /// Writes since the last call, and the time until they were answered.
@@ -317,6 +327,7 @@
             this->on_commit(sent_at);
         } else {
             this->on_conflict(result, sent_at);
+            this->newest = {sent_at, result.version};
         }
     }
 
@@ -483,6 +494,7 @@
     bool is_commit_due = false; ///< is called soon
     bool has_inherited = false;
     bool is_resigning = false;
+    stored_change newest{};
     bool is_stopped = false;
 };
 
--- a/libs/jobs/include/foxtaillift/jobs/row_follower.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/row_follower.hpp
@@ -61,6 +61,8 @@
     [[nodiscard]] bool is_complete() const { return this->was_read; }
     /// When the store last answered.
     [[nodiscard]] base::instant answered_at() const { return this->answered; }
+    /// All changes up to this version of the store have been reported.
+    [[nodiscard]] std::int64_t read_version() const { return this->version; }
 
 private:
     void read_all()
--- a/libs/jobs/include/foxtaillift/jobs/scheduler.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/scheduler.hpp
@@ -141,6 +141,9 @@
     /// Does nothing if the job is unknown or over.
     void cancel_job(std::string_view job, base::instant now);
 
+    /// All jobs were added whose rows were stored before this time. Until it
+    /// is told, the row of a job may still come that an earlier leader knew.
+    void on_jobs_read(base::instant stored_before);
     /// `is_extra`: the answer to an order that was marked so.
     void on_look(
         std::string_view worker,
--- a/libs/jobs/src/scheduler.cpp
+++ b/libs/jobs/src/scheduler.cpp
@@ -2,6 +2,8 @@
 
 #include "scheduler_core.hpp"
 
+#include <algorithm>
+
 namespace foxtaillift::jobs
 {
 
@@ -111,6 +113,11 @@
     this->impl->keep_ended(std::move(job), state);
 }
 
+void scheduler::on_jobs_read(base::instant stored_before)
+{
+    this->impl->jobs_read = std::max(this->impl->jobs_read, stored_before);
+}
+
 void scheduler::cancel_job(std::string_view job, base::instant now)
 {
     this->impl->cancel_job(job, now);
--- a/libs/jobs/src/scheduler_core.hpp
+++ b/libs/jobs/src/scheduler_core.hpp
@@ -37,7 +37,8 @@
 base::duration on_slow_clock(base::duration span);
 
 /// The row of a job that a former leader started may be read this much later
-/// than the reports of its runs: a slow store holds the change back.
+/// than the reports of its runs: a slow store holds the change back. Later
+/// still if the store does not answer; see scheduler::on_jobs_read().
 constexpr base::duration unknown_job_grace = base::milliseconds(2000);
 
 /// Finds texts without a copy.
@@ -298,6 +299,8 @@
 
 private:
     // scheduler_jobs.cpp
+    /// The rows of all jobs that were stored before are known.
+    base::instant jobs_read{-1'000'000};
     /// Queues of unfinished jobs that the configuration does not name.
     void log_dropped_queues() const;
 
@@ -313,6 +316,9 @@
     void on_end(std::size_t worker, reported_end const& end, base::instant now);
     void on_done(job_entry& job, std::size_t ordinal, run_name const& run);
     void on_failed(
+    /// No row can come any more for a job that a worker named at `seen_at`.
+    [[nodiscard]] bool
+    is_job_missing(base::instant seen_at, base::instant now) const;
         job_entry& job,
         std::size_t ordinal,
         std::size_t worker,
--- a/libs/jobs/src/scheduler_reports.cpp
+++ b/libs/jobs/src/scheduler_reports.cpp
@@ -142,6 +142,7 @@
         worker.processed = 0;
         worker.acknowledged = 0;
         worker.unacknowledged.clear();
+        worker.blocked.clear();
     }
     if (is_born_again || !worker.is_heard) {
         // What runs there may have the longest lease of an earlier leader.
@@ -165,15 +166,21 @@
             if (!this->is_end_readable(index, end, now)) {
                 break;
             }
+                for (auto const& later : report.ended) {
+                    if (later.number > worker.processed) {
+                        worker.blocked.emplace(later.number, now);
+                    }
+                }
             worker.processed = end.number;
             worker.unacknowledged.emplace_back(end.number, end.run);
+            worker.blocked.erase(end.number);
             this->on_end(index, end, now);
         }
     }
     bool const is_all_read =
         report.ended.empty() || report.ended.back().number <= worker.processed;
     if (is_all_read) {
-        worker.blocked_since.reset();
+        worker.blocked.clear();
     }
     // A run whose end cannot be taken over yet is not lost.
     std::set<std::reference_wrapper<run_name const>, std::less<run_name>>
@@ -204,25 +211,29 @@
 bool scheduler::implementation::is_end_readable(
     std::size_t index, reported_end const& end, base::instant now)
 {
-    auto& blocked = this->workers[index].blocked_since;
     if (this->find_job(end.run.task.job) != nullptr ||
         this->ended.contains(end.run.task.job)) {
-        blocked.reset();
         return true;
     }
-    if (!blocked) {
-        blocked = now;
+    auto const& worker = this->workers[index];
+    auto const listed = worker.blocked.find(end.number);
+    if (listed == worker.blocked.end() ||
+        !this->is_job_missing(listed->second, now)) {
+        return false;
     }
-    bool const is_given_up = now - *blocked >= unknown_job_grace;
-    if (is_given_up) {
-        this->log(base::event_line{"end_unclaimed"}
-                      .add("task", to_string(end.run.task))
-                      .add("attempt", end.run.attempt)
-                      .add("worker", this->workers[index].info.id)
-                      .add("number", end.number)
-                      .add("waited_ms", now - *blocked));
-    }
-    return is_given_up;
+    this->log(base::event_line{"end_unclaimed"}
+                  .add("task", to_string(end.run.task))
+                  .add("attempt", end.run.attempt)
+                  .add("worker", worker.info.id)
+                  .add("number", end.number)
+                  .add("waited_ms", now - listed->second));
+    return true;
+}
+
+bool scheduler::implementation::is_job_missing(
+    base::instant seen_at, base::instant now) const
+{
+    return now - seen_at >= unknown_job_grace && this->jobs_read >= seen_at;
 }
 
 void scheduler::implementation::on_end(
@@ -407,7 +418,7 @@
             });
         if (found == known.end()) {
             known.push_back({index, reported.run, now, reported.percent});
-        } else if (now - found->seen_at >= unknown_job_grace) {
+        } else if (this->is_job_missing(found->seen_at, now)) {
             this->stop_run(index, reported.run);
         }
         return;
--- a/libs/jobs/src/worker_table.hpp
+++ b/libs/jobs/src/worker_table.hpp
@@ -107,8 +107,9 @@
     /// Ends taken over and not acknowledged, by number.
     std::deque<std::pair<std::int64_t, run_name>> unacknowledged{};
 
-    /// Since when the next end cannot be taken over, as its job is unknown.
-    std::optional<base::instant> blocked_since{};
+    /// Ends that cannot be taken over, as the job of the first is unknown: when
+    /// each was listed first, by number.
+    std::map<std::int64_t, base::instant> blocked{};
 
     int failures_in_row = 0;
     base::instant barred_until{};                    ///< nothing starts before
@@ -147,7 +148,7 @@
     /// All that an earlier leader may have left there is known.
     [[nodiscard]] bool is_accounted() const
     {
-        return this->is_heard ? !this->blocked_since
+        return this->is_heard ? this->blocked.empty()
                               : this->inherited_until || this->is_lease_unknown;
     }
 
--- a/libs/jobs/tests/scheduler_test.cpp
+++ b/libs/jobs/tests/scheduler_test.cpp
@@ -348,6 +348,7 @@
     test.answer("a", report);
     for (int i = 0; i < 30; ++i) { // nobody knows the job of the end
         test.wait(100);
+        test.decisions.on_jobs_read(test.now);
         report.clock_ms = test.now.ms;
         test.answer("a", report);
     }
@@ -408,6 +409,7 @@
         report.running.push_back({.run = {{.job = "x"}, 1}, .percent = 10});
         test.answer("a", report);
         test.wait(100);
+        test.decisions.on_jobs_read(test.now);
         auto const sent = test.take<stop_order>().size();
         CHECK((sent == 0 || i >= 19));
         stops += sent;
@@ -432,6 +434,7 @@
     CHECK(test.take<start_order>().empty());
     for (int i = 0; i < 30; ++i) {
         test.wait(100);
+        test.decisions.on_jobs_read(test.now);
         CHECK(test.take<start_order>().empty());
         report.clock_ms = test.now.ms;
         test.answer("a", report);
@@ -474,6 +477,7 @@
         report.clock_ms = test.now.ms;
         test.answer("a", report);
         test.wait(100);
+        test.decisions.on_jobs_read(test.now);
         test.take<look_order>();
     }
     commit_all(test.decisions);
--- a/libs/jobs/tests/takeover_test.cpp
+++ b/libs/jobs/tests/takeover_test.cpp
@@ -27,6 +27,29 @@
 
 } // namespace
 
+// Guards against TWICE: the row of a job came late, as the store was away just
+// after the takeover; the end of its task had been acknowledged as that of a
+// job which nobody knows, and the task started again.
+TEST_CASE("the end of a job whose row comes late is not acknowledged before")
+{
+    fixture test{2, true};
+    test.list("a");
+    test.take<look_order>();
+    constexpr int steps = 50; // 5 s without an answer of the store
+    for (int i = 0; i < steps; ++i) {
+        test.answer("a", report_of_end(test));
+        test.decisions.on_committed(test.decisions.take_commit(50));
+        test.wait(100);
+        test.take<look_order>();
+        CHECK(test.last_look["a"].acknowledged == 0);
+    }
+    test.add("j", one_task);
+    test.answer("a", report_of_end(test));
+    CHECK(test.take<start_order>().empty());
+    test.decisions.on_committed(test.decisions.take_commit(50));
+    CHECK(test.decisions.state_of("j") == job_state::completed);
+}
+
 // Guards against TWICE: a leader that had heard a worker once, before it sent
 // it a lease, recorded the worker without one, and its successor started the
 // task that ran there under the lease of an earlier leader.
