Count a job whose row comes late as inherited

What callers could see: a task runs twice, started by two hosts. A deposed leader may go on for up to 2.5 s after its successor has heard a majority, and start a job that was stored meanwhile on a worker that its successor does not reach. If the row reached the successor after those 2.5 s, as the store was slow or away, it counted as one that nobody could have started.

Cause: the time when a row is read was taken for the time when it was stored. A job is new now only if the rows up to a change of this leader, sent after those 2.5 s, were known before.

--- a/libs/jobs/src/scheduler_jobs.cpp
+++ b/libs/jobs/src/scheduler_jobs.cpp
@@ -156,7 +156,8 @@
         make_entry(std::move(spec), std::move(progress), now));
     job->is_inherited =
         !this->is_recovered &&
-        !(this->majority_at && now - *this->majority_at > majority_window);
+        !(this->majority_at &&
+          this->jobs_read > *this->majority_at + majority_window);
     this->log(base::event_line{"job_added"}
                   .add("job", id)
                   .add("queue", job->spec.queue)
--- a/libs/jobs/tests/takeover_test.cpp
+++ b/libs/jobs/tests/takeover_test.cpp
@@ -50,6 +50,33 @@
     CHECK(test.decisions.state_of("j") == job_state::completed);
 }
 
+// Guards against TWICE: a deposed leader grants leases for 2.5 s at most, but
+// the row of a job that it started then may reach its successor later.
+TEST_CASE("a job whose row comes late counts as inherited")
+{
+    fixture test{2, true};
+    for (std::string const worker : {"a", "b", "c"}) {
+        test.list(worker);
+    }
+    test.take<look_order>();
+    auto const answer = [&] {
+        test.answer("a", test.report());
+        test.answer("b", test.report());
+        test.decisions.on_look(
+            "c", order_status::unknown, {}, test.now, test.now);
+    };
+    answer();
+    test.take<look_order>();
+    test.wait(3000);
+    test.add("j", one_task);
+    constexpr int steps = 50;
+    for (int i = 0; i < steps; ++i) {
+        answer();
+        CHECK(test.take<start_order>().empty());
+        test.wait(100);
+    }
+}
+
 // Guards against TWICE: a leader that had heard a worker once, before it sent
 // it a lease, recorded the worker without one, and its successor started the
 // task that ran there under the lease of an earlier leader.
