Count workers whose entries are missing for a majority

What callers could see: a task runs twice, started by two hosts. The platform may drop entries of workers while its store is down. A successor that took over just after it counted only the workers that were listed or had reported runs, so that the first of them was a majority; from it on the leader counts the time after which an earlier leader has stopped granting leases.

Cause: a worker that is not listed was taken as gone for the count, while its entry may come back about 2 s after the outage. Such workers count for 4 s now, for a leader's own majority as well.

--- a/libs/jobs/include/foxtaillift/jobs/leader.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/leader.hpp
@@ -396,7 +396,7 @@
         bool const may_grant =
             !this->writer->is_giving_up() &&
             (this->store_age() < confirmed_time ||
-             this->decisions.is_majority_heard(now - majority_span));
+             this->decisions.is_majority_heard(now - majority_span, now));
         this->orders->send(
             this->decisions.take_orders(now, this->ports.wall_ms(), may_grant));
         this->writer->commit();
--- a/libs/jobs/include/foxtaillift/jobs/scheduler.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/scheduler.hpp
@@ -198,8 +198,10 @@
     /// the one that has its address now.
     [[nodiscard]] std::size_t pending(std::string_view queue) const;
     /// True if more than half of the workers have answered a look that was
-    /// sent at `since` or later.
-    [[nodiscard]] bool is_majority_heard(base::instant since) const;
+    /// sent at `since` or later. Workers that left the list a short time ago
+    /// count: their entries may only be missing.
+    [[nodiscard]] bool
+    is_majority_heard(base::instant since, base::instant now) const;
     [[nodiscard]] bool is_recovered(base::instant now) const;
     /// Workers on which something may run; valid until the next command.
     [[nodiscard]] std::vector<worker_info const*> workers_in_use() const;
--- a/libs/jobs/src/scheduler.cpp
+++ b/libs/jobs/src/scheduler.cpp
@@ -226,9 +226,9 @@
     return count;
 }
 
-bool scheduler::is_majority_heard(base::instant since) const
+bool scheduler::is_majority_heard(base::instant since, base::instant now) const
 {
-    return this->impl->is_majority_heard(since);
+    return this->impl->is_majority_heard(since, now);
 }
 
 bool scheduler::is_recovered(base::instant now) const
--- a/libs/jobs/src/scheduler_core.hpp
+++ b/libs/jobs/src/scheduler_core.hpp
@@ -204,7 +204,8 @@
     // Orders (scheduler_orders.cpp)
     std::vector<worker_order>
     take_orders(base::instant now, std::int64_t wall_ms, bool may_grant);
-    [[nodiscard]] bool is_majority_heard(base::instant since) const;
+    [[nodiscard]] bool
+    is_majority_heard(base::instant since, base::instant now) const;
     void update_majority(base::instant now);
     [[nodiscard]] base::instant earlier_leases_end() const;
     bool update_recovery(base::instant now);
--- a/libs/jobs/src/scheduler_orders.cpp
+++ b/libs/jobs/src/scheduler_orders.cpp
@@ -59,6 +59,14 @@
 /// While ends wait for the store, a look would return at once each time.
 constexpr base::duration unacknowledged_gap = base::milliseconds(400);
 
+/// Entries that the platform dropped during an outage of the store are back
+/// about 2 s after it, and are read some time later.
+constexpr base::duration missing_entry_grace = base::milliseconds(4000);
+
+/// The end of a lease is counted from a reading of the worker's clock that may
+/// be this much ahead of it: 2% of the time since its last report, and the way.
+constexpr base::duration clock_reading_age = base::milliseconds(200);
+
 /// Percent by which a worker's clock may be slow, as a factor of 100.
 constexpr std::int64_t slow_clock_percent = 102;
 
@@ -69,13 +77,18 @@
     return span * slow_clock_percent / 100;
 }
 
-bool scheduler::implementation::is_majority_heard(base::instant since) const
+bool scheduler::implementation::is_majority_heard(
+    base::instant since, base::instant now) const
 {
     std::size_t known = 0;
     std::size_t heard = 0;
     for (std::size_t i = 0; i < this->workers.size(); ++i) {
         auto const& worker = this->workers[i];
-        if (worker.is_gone || (!worker.is_listed && worker.runs.empty())) {
+        bool const may_be_listed_again =
+            now - worker.unlisted_at < missing_entry_grace;
+        bool const is_in_use =
+            worker.is_listed || !worker.runs.empty() || may_be_listed_again;
+        if (worker.is_gone || !is_in_use) {
             continue;
         }
         ++known;
@@ -88,7 +101,7 @@
 void scheduler::implementation::update_majority(base::instant now)
 {
     if (!this->recovery_began || this->majority_at ||
-        !this->is_majority_heard(*this->recovery_began)) {
+        !this->is_majority_heard(*this->recovery_began, now)) {
         return;
     }
     this->majority_at = now;
--- a/libs/jobs/src/worker_table.hpp
+++ b/libs/jobs/src/worker_table.hpp
@@ -68,7 +68,7 @@
 {
     worker_info info{};
     bool is_listed = false;
-    base::instant unlisted_at{};
+    base::instant unlisted_at{-1'000'000};
     base::instant leaves_at{}; ///< while it drains: no sooner than this
     clock_estimate clock{};
     std::int64_t born_ms = 0;           ///< 0: has not reported yet
--- a/libs/jobs/tests/takeover_test.cpp
+++ b/libs/jobs/tests/takeover_test.cpp
@@ -77,6 +77,48 @@
     }
 }
 
+// Guards against TWICE: entries of workers that run on are missing for a while
+// after an outage of the store, and the few that are listed were taken for a
+// majority, from which on an earlier leader can't grant leases.
+TEST_CASE("workers whose entries are missing count for a majority")
+{
+    fixture test{2, true};
+    std::vector<std::string> const workers{"a", "b", "c", "d", "e"};
+    for (auto const& id : workers) {
+        test.decisions.recall_worker(
+            {.id = id, .address = id, .service = "s"}, test.now);
+    }
+    test.add("j", one_task);
+    test.decisions.begin_recovery(test.now); // the job is inherited
+    test.list("a");
+    test.take<look_order>();
+    auto const step = [&] {
+        auto report = test.report();
+        report.running.push_back({.run = {{.job = "x"}, 1}, .percent = 5});
+        test.answer("a", report);
+        for (auto const& id : workers) {
+            if (id != "a") {
+                test.decisions.on_look(
+                    id, order_status::unknown, {}, test.now, test.now);
+            }
+        }
+        test.wait(100);
+        CHECK(test.take<start_order>().empty());
+    };
+    constexpr int steps_until_listed = 20;
+    for (int i = 0; i < steps_until_listed; ++i) {
+        step();
+    }
+    for (auto const& id : workers) {
+        test.list(id);
+    }
+    constexpr int steps_after = 100;
+    for (int i = 0; i < steps_after; ++i) {
+        step();
+    }
+    CHECK_FALSE(test.decisions.is_recovered(test.now));
+}
+
 // Guards against TWICE: a leader that had heard a worker once, before it sent
 // it a lease, recorded the worker without one, and its successor started the
 // task that ran there under the lease of an earlier leader.
