Wait for the longest lease that a predecessor records

A successor of this version waited for the leases that it grants itself; a leader of an earlier version grants up to the platform's longest.

Cause: took a constant of this program for a property of its predecessor. A leader now records the longest lease that workers may hold, with its token, and counts its predecessors in until their leases are over. A successor takes it if the token is that of the leader before it, and waits for the platform's longest otherwise.

--- a/libs/jobs/include/foxtaillift/jobs/inherited_state.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/inherited_state.hpp
@@ -15,6 +15,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -27,6 +28,7 @@
 {
     std::vector<roster_page> workers{}; ///< that may have runs
     std::vector<closed_worker> closed{};
+    std::optional<recorded_lease> lease{}; ///< nothing: not recorded
     std::string learned{}; ///< for scheduler::take_learned(); may be empty
     std::map<std::string, job_progress> progress{};         ///< by job
     std::vector<std::pair<std::string, job_state>> ended{}; ///< whose rows are
@@ -108,6 +110,9 @@
                 {.number = *page, .workers = decode_workers(row.value)});
         } else if (row.key == lead_keys::learned) {
             this->state.learned = row.value;
+        } else if (row.key == lead_keys::lease) {
+            this->take(
+                row, [&] { this->state.lease = decode_lease(row.value); });
         } else if (row.key == lead_keys::closed) {
             this->take(
                 row, [&] { this->state.closed = decode_closed(row.value); });
--- a/libs/jobs/include/foxtaillift/jobs/leader.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/leader.hpp
@@ -220,6 +220,10 @@
             this->recall(page, now);
         }
         this->take_learned(state.learned);
+        if (state.lease &&
+            state.lease->token + 1 == this->rows().current.token) {
+            this->decisions.take_longest_lease(state.lease->longest);
+        }
         this->decisions.take_closed(state.closed, now);
         for (auto const& [job, ended] : state.ended) {
             this->decisions.add_ended(job, ended);
@@ -371,10 +375,6 @@
         }));
     }
 
-    void run()
-    {
-        auto const now = this->ports.now();
-        if (this->decisions.is_fenced()) {
     /// Tells the decisions up to which time the rows of jobs are known: a row
     /// that was stored before a change of this leader has a lower version.
     void note_jobs_read()
@@ -389,9 +389,13 @@
         }
     }
 
+    void run()
+    {
+        this->note_jobs_read();
+        auto const now = this->ports.now();
+        if (this->decisions.is_fenced()) {
             this->lose("a worker knows a higher token");
             return;
-        this->note_jobs_read();
         }
         bool const may_grant =
             !this->writer->is_giving_up() &&
@@ -421,13 +425,13 @@
     std::map<std::string, job_progress> inherited{};
     base::instant ran_at{-1'000'000};
     base::duration rest{}; ///< until the decisions run again
+    /// Not known yet to be covered by the rows of jobs that were read.
+    std::optional<typename record_writer<Ports>::stored_change>
+        awaited_change{};
     base::instant load_logged_at{-1'000'000};
     // Since the last line on the load.
     int decision_count = 0;
     base::duration deciding{}; ///< time of the decisions
-    /// Not known yet to be covered by the rows of jobs that were read.
-    std::optional<typename record_writer<Ports>::stored_change>
-        awaited_change{};
     bool is_awake = false;
     bool loaded = false;
     bool is_stopped = false;
--- a/libs/jobs/include/foxtaillift/jobs/leader_record.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/leader_record.hpp
@@ -5,6 +5,7 @@
 #include "foxtaillift/jobs/rows.hpp"
 #include "foxtaillift/jobs/scheduler.hpp"
 #include "foxtaillift/jobs/worker.hpp"
+#include "foxtaillift/jobs/worker_record.hpp"
 #include "foxtaillift/jobs/worker_roster.hpp"
 
 #include <cstdint>
@@ -21,6 +22,7 @@
     commit_batch jobs{};
     std::vector<roster_page> workers{};    ///< pages that change
     std::optional<std::string> learned{};  ///< see scheduler::learned()
+    std::optional<recorded_lease> lease{}; ///< nothing: as recorded before
     std::vector<std::string> forgotten{};  ///< jobs whose state can go
     std::optional<leadership> successor{}; ///< gives the leadership up
     /// Workers that do not answer; nothing: those named before.
--- a/libs/jobs/include/foxtaillift/jobs/record_writer.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/record_writer.hpp
@@ -38,14 +38,14 @@
     /// rest within seconds.
     base::duration learned_interval = base::milliseconds(3000);
     /// Rows of jobs in one write, of the 100 entries that the store's
-    /// transactions hold; ten go to the leader's own rows (two conditions, four
-    /// rows, the pages of the roster), ten to `ended_in_commit`. Submissions
-    /// take up to three quarters of them.
+    /// transactions hold; eleven go to the leader's own rows (two conditions,
+    /// five rows, the pages of the roster), nine to `ended_in_commit`.
+    /// Submissions take up to three quarters of them.
     std::size_t job_rows_in_commit = 80;
     /// How long the state of a job that is over can be asked for, and how many
     /// of the older ones one write removes.
     base::duration ended_kept = base::seconds(150);
-    std::size_t ended_in_commit = 10;
+    std::size_t ended_in_commit = 9;
 };
 
 /// What the owner of a record_writer learns.
@@ -270,6 +270,10 @@
         }
         this->roster.on_record_sent(this->record.workers);
         this->record_successor();
+        auto const lease = this->decisions.longest_lease_held(now);
+        if (lease != this->lease_recorded) {
+            this->record.lease = {this->lead.current.token, lease};
+        }
         if (this->is_resigning ||
             now - this->learned_at >= this->options.learned_interval) {
             this->record.learned = this->decisions.learned();
@@ -324,11 +328,11 @@
     {
         this->store_time.on_answer(result.store_ms, this->ports.now());
         if (result.status == store_status::done) {
+            this->newest = {sent_at, result.version};
             this->lead.beat_version = result.version;
             this->on_commit(sent_at);
         } else {
             this->on_conflict(result, sent_at);
-            this->newest = {sent_at, result.version};
         }
     }
 
@@ -420,6 +424,9 @@
         if (this->record.learned) {
             this->learned_at = sent_at;
         }
+        if (this->record.lease) {
+            this->lease_recorded = this->record.lease->longest;
+        }
         if (this->record.closed) {
             this->closed_recorded_at = sent_at;
             this->recorded_closed = std::move(*this->record.closed);
@@ -483,10 +490,12 @@
     // What is recorded.
     std::vector<closed_worker> recorded_closed{};
     base::instant closed_recorded_at{-1'000'000};
+    base::duration lease_recorded{}; ///< 0: none in this leadership
     std::deque<std::pair<base::instant, std::string>> ended{}; ///< oldest first
     base::instant renewed_at; ///< when the last acknowledged write was sent
     base::instant written_at;
     base::instant learned_at;
+    stored_change newest{};
 
     std::shared_ptr<copied_write<Ports>> write;
     write_load load{};
@@ -495,7 +504,6 @@
     bool is_commit_due = false; ///< is called soon
     bool has_inherited = false;
     bool is_resigning = false;
-    stored_change newest{};
     bool is_stopped = false;
 };
 
--- a/libs/jobs/include/foxtaillift/jobs/rows.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/rows.hpp
@@ -91,6 +91,8 @@
 inline constexpr char learned[] = "workers.learned";
 /// Workers that may run tasks; followed by the number of a page.
 inline constexpr char roster[] = "workers.named.";
+/// The longest lease that workers may hold.
+inline constexpr char lease[] = "workers.lease";
 /// Workers that do not answer or leave, with what may run there.
 inline constexpr char closed[] = "workers.closed";
 } // namespace lead_keys
--- a/libs/jobs/include/foxtaillift/jobs/scheduler.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/scheduler.hpp
@@ -27,7 +27,8 @@
     /// Lease that runs get; below the platform's longest, which shortens any
     /// longer one.
     base::duration lease = base::milliseconds(5500);
-    /// The longest lease that an earlier leader can have given.
+    /// The platform's longest lease: of an earlier leader of which nothing
+    /// else is known, and of a worker that was born again.
     base::duration longest_lease = base::milliseconds(6000);
     base::duration stop_timeout = base::milliseconds(900);
     /// How long a look waits for an end when nothing else is due. While its
@@ -124,6 +125,10 @@
     /// What an earlier leader recorded last, once its workers were recalled.
     void take_closed(std::span<closed_worker const> record, base::instant now);
 
+    /// The longest lease that any worker may hold from earlier leaders; call it
+    /// before take_closed(). Without it that is the platform's longest.
+    void take_longest_lease(base::duration recorded);
+
     /// Call once after the workers and jobs of an earlier leader were added.
     /// Tasks of these jobs start only when each worker has reported, or when
     /// every lease that the earlier leader can have given has run out.
@@ -136,14 +141,14 @@
     /// Adds an accepted job, with its progress if it had any.
     void add_job(
         job_spec job, std::optional<job_progress> progress, base::instant now);
+    /// All jobs were added whose rows were stored before this time. Until it
+    /// is told, the row of a job may still come that an earlier leader knew.
+    void on_jobs_read(base::instant stored_before);
     /// A job that is over and whose rows are gone, but for its state.
     void add_ended(std::string job, job_state state);
     /// Does nothing if the job is unknown or over.
     void cancel_job(std::string_view job, base::instant now);
 
-    /// All jobs were added whose rows were stored before this time. Until it
-    /// is told, the row of a job may still come that an earlier leader knew.
-    void on_jobs_read(base::instant stored_before);
     /// `is_extra`: the answer to an order that was marked so.
     void on_look(
         std::string_view worker,
--- a/libs/jobs/include/foxtaillift/jobs/worker_record.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/worker_record.hpp
@@ -2,8 +2,10 @@
 /// those that do not answer it or leave.
 #pragma once
 
+#include "foxtaillift/base/clock.hpp"
 #include "foxtaillift/jobs/worker.hpp"
 
+#include <cstdint>
 #include <span>
 #include <string>
 #include <string_view>
@@ -18,6 +20,18 @@
 /// Lines that cannot be read are left out.
 std::vector<worker_info> decode_workers(std::string_view text);
 
+/// The row `lead/workers.lease`. It says nothing of leaders after the one with
+/// this token: a version that does not write it may grant longer leases.
+struct recorded_lease
+{
+    std::int64_t token = 0;
+    base::duration longest{}; ///< that a worker may hold
+};
+
+std::string encode(recorded_lease const& value);
+/// Throws base::error (corrupt_data).
+recorded_lease decode_lease(std::string_view text);
+
 std::string encode_closed(std::span<closed_worker const> workers);
 
 /// Throws base::error (corrupt_data): half a record would name too few runs.
--- a/libs/jobs/include/foxtaillift/jobs/worker_roster.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/worker_roster.hpp
@@ -2,6 +2,7 @@
 /// durably named, so that a successor knows whom to ask.
 #pragma once
 
+#include "foxtaillift/base/clock.hpp"
 #include "foxtaillift/jobs/scheduler.hpp"
 #include "foxtaillift/jobs/worker.hpp"
 
@@ -42,10 +43,10 @@
     void recall(roster_page const& page);
     void list(worker_info const& worker);
     void unlist(std::string const& worker);
-    /// These pages are durable now.
     /// These pages are on their way to the store. A worker that they leave out
     /// is not recorded any more, whether or not they have arrived.
     void on_record_sent(std::vector<roster_page> const& written);
+    /// These pages are durable now.
     void on_recorded(std::vector<roster_page> const& written);
 
     // Queries
@@ -75,7 +76,7 @@
     // Kept so that an unchanged record of a large fleet costs no search.
     std::set<std::string> unnamed{};  ///< listed and not recorded
     std::set<std::string> departed{}; ///< recorded and not listed
-};
     std::set<std::string> removed{};  ///< left out by pages that were sent
+};
 
 } // namespace foxtaillift::jobs
--- a/libs/jobs/src/leader_record.cpp
+++ b/libs/jobs/src/leader_record.cpp
@@ -65,6 +65,9 @@
     if (record.learned) {
         put(change, lead_keys::learned, *record.learned);
     }
+    if (record.lease) {
+        put(change, lead_keys::lease, encode(*record.lease));
+    }
     if (record.closed) {
         put(change, lead_keys::closed, encode_closed(*record.closed));
     }
--- a/libs/jobs/src/scheduler.cpp
+++ b/libs/jobs/src/scheduler.cpp
@@ -67,6 +67,11 @@
     }
 }
 
+void scheduler::take_longest_lease(base::duration recorded)
+{
+    this->impl->inherited_lease = recorded;
+}
+
 void scheduler::begin_recovery(base::instant now)
 {
     this->impl->is_recovered = false;
@@ -108,14 +113,14 @@
     this->impl->add_job(std::move(job), std::move(progress), now);
 }
 
-void scheduler::add_ended(std::string job, job_state state)
+void scheduler::on_jobs_read(base::instant stored_before)
 {
-    this->impl->keep_ended(std::move(job), state);
+    this->impl->jobs_read = std::max(this->impl->jobs_read, stored_before);
 }
 
-void scheduler::on_jobs_read(base::instant stored_before)
+void scheduler::add_ended(std::string job, job_state state)
 {
-    this->impl->jobs_read = std::max(this->impl->jobs_read, stored_before);
+    this->impl->keep_ended(std::move(job), state);
 }
 
 void scheduler::cancel_job(std::string_view job, base::instant now)
--- a/libs/jobs/src/scheduler_closing.cpp
+++ b/libs/jobs/src/scheduler_closing.cpp
@@ -120,9 +120,9 @@
         if (each.lease_age) {
             worker.is_lease_closed = true;
             worker.granted_at = now - *each.lease_age;
-            worker.inherited_until =
-                worker.granted_at + on_slow_clock(this->options.longest_lease) +
-                lapse_margin;
+            worker.inherited_until = worker.granted_at +
+                                     on_slow_clock(this->inherited_lease) +
+                                     lapse_margin;
         } else {
             worker.is_lease_unknown = true;
         }
--- a/libs/jobs/src/scheduler_core.hpp
+++ b/libs/jobs/src/scheduler_core.hpp
@@ -208,6 +208,7 @@
     is_majority_heard(base::instant since, base::instant now) const;
     void update_majority(base::instant now);
     [[nodiscard]] base::instant earlier_leases_end() const;
+    [[nodiscard]] base::duration longest_lease_held(base::instant now) const;
     bool update_recovery(base::instant now);
 
     // Advisers (scheduler_advice.cpp)
@@ -253,11 +254,11 @@
     /// Callers who ask for the queue of this name mean this job, too.
     [[nodiscard]] bool
     is_asked_for(job_entry const& job, std::string_view queue) const;
-    /// New tasks may start there, by all that is known of the worker.
     /// An entry that vanished from the platform's list may return: until then
     /// the worker may be used for a while.
     [[nodiscard]] static bool
     may_start_unlisted(worker_entry const& worker, base::instant now);
+    /// New tasks may start there, by all that is known of the worker.
     [[nodiscard]] static bool
     is_usable(worker_entry const& worker, base::instant now);
     /// Adds the ends all of whose jobs are durable with the batch.
@@ -265,6 +266,7 @@
     static void acknowledge(worker_entry& worker, std::int64_t number);
 
     scheduler_options options;
+    base::duration inherited_lease; ///< the longest of earlier leaders
     std::map<std::string, queue, std::less<>> queues;
     bool is_configured = false; ///< `queues` are known
     text_map<std::unique_ptr<job_entry>> jobs;
@@ -301,11 +303,11 @@
     bool is_recovered = true;
     std::optional<base::instant> recovery_began{};
     std::optional<base::instant> majority_at{};
+    /// The rows of all jobs that were stored before are known.
+    base::instant jobs_read{-1'000'000};
 
 private:
     // scheduler_jobs.cpp
-    /// The rows of all jobs that were stored before are known.
-    base::instant jobs_read{-1'000'000};
     /// Queues of unfinished jobs that the configuration does not name.
     void log_dropped_queues() const;
 
@@ -318,12 +320,12 @@
     /// False if the end has to be read again later.
     bool is_end_readable(
         std::size_t worker, reported_end const& end, base::instant now);
-    void on_end(std::size_t worker, reported_end const& end, base::instant now);
-    void on_done(job_entry& job, std::size_t ordinal, run_name const& run);
-    void on_failed(
     /// No row can come any more for a job that a worker named at `seen_at`.
     [[nodiscard]] bool
     is_job_missing(base::instant seen_at, base::instant now) const;
+    void on_end(std::size_t worker, reported_end const& end, base::instant now);
+    void on_done(job_entry& job, std::size_t ordinal, run_name const& run);
+    void on_failed(
         job_entry& job,
         std::size_t ordinal,
         std::size_t worker,
--- a/libs/jobs/src/scheduler_jobs.cpp
+++ b/libs/jobs/src/scheduler_jobs.cpp
@@ -29,6 +29,7 @@
 
 scheduler::implementation::implementation(scheduler_options settings)
     : options(std::move(settings))
+    , inherited_lease(options.longest_lease)
 {}
 
 void scheduler::implementation::log(base::event_line const& line) const
@@ -154,6 +155,8 @@
     auto id = spec.id;
     auto job = std::make_unique<job_entry>(
         make_entry(std::move(spec), std::move(progress), now));
+    // A deposed leader may have started what was stored before it stopped
+    // granting leases, however late its row comes here.
     job->is_inherited =
         !this->is_recovered &&
         !(this->majority_at &&
--- a/libs/jobs/src/scheduler_orders.cpp
+++ b/libs/jobs/src/scheduler_orders.cpp
@@ -121,7 +121,18 @@
 base::instant scheduler::implementation::earlier_leases_end() const
 {
     return *this->majority_at + majority_window +
-           on_slow_clock(this->options.longest_lease) + lapse_margin;
+           on_slow_clock(this->inherited_lease) + lapse_margin;
+}
+
+base::duration
+scheduler::implementation::longest_lease_held(base::instant now) const
+{
+    bool const are_earlier_over =
+        !this->recovery_began ||
+        (this->majority_at && now > this->earlier_leases_end());
+    auto const granted = this->options.lease + clock_reading_age;
+    return are_earlier_over ? granted
+                            : std::max(granted, this->inherited_lease);
 }
 
 /// Returns whether tasks of inherited jobs may start.
--- a/libs/jobs/src/scheduler_reports.cpp
+++ b/libs/jobs/src/scheduler_reports.cpp
@@ -145,9 +145,11 @@
         worker.blocked.clear();
     }
     if (is_born_again || !worker.is_heard) {
-        // What runs there may have the longest lease of an earlier leader.
-        worker.leased_until_ms =
-            report.clock_ms + this->options.longest_lease.ms;
+        // What runs there may have the longest lease of an earlier leader. An
+        // order for the life before may give the next one the platform's.
+        auto const longest =
+            is_born_again ? this->options.longest_lease : this->inherited_lease;
+        worker.leased_until_ms = report.clock_ms + longest.ms;
         worker.granted_at = now;
     }
     worker.born_ms = report.born_ms;
@@ -164,16 +166,16 @@
     for (auto const& end : report.ended) {
         if (end.number > worker.processed) {
             if (!this->is_end_readable(index, end, now)) {
-                break;
-            }
                 for (auto const& later : report.ended) {
                     if (later.number > worker.processed) {
                         worker.blocked.emplace(later.number, now);
                     }
                 }
+                break;
+            }
+            worker.blocked.erase(end.number);
             worker.processed = end.number;
             worker.unacknowledged.emplace_back(end.number, end.run);
-            worker.blocked.erase(end.number);
             this->on_end(index, end, now);
         }
     }
--- a/libs/jobs/src/worker_record.cpp
+++ b/libs/jobs/src/worker_record.cpp
@@ -86,6 +86,23 @@
 
 } // namespace
 
+std::string encode(recorded_lease const& value)
+{
+    return std::to_string(value.token) + " " + std::to_string(value.longest.ms);
+}
+
+recorded_lease decode_lease(std::string_view text)
+{
+    std::istringstream words{std::string{text}};
+    recorded_lease lease;
+    if (!(words >> lease.token >> lease.longest.ms) || lease.longest.ms <= 0) {
+        throw base::error{
+            base::error_code::corrupt_data,
+            "the longest lease cannot be read: " + std::string{text}};
+    }
+    return lease;
+}
+
 std::string encode_closed(std::span<closed_worker const> workers)
 {
     std::string text;
--- a/libs/jobs/tests/takeover_test.cpp
+++ b/libs/jobs/tests/takeover_test.cpp
@@ -1,7 +1,13 @@
 /// What a leader may conclude right after a takeover, while it still misses
 /// rows, workers or leases that its predecessor knew.
 #include "scheduler_fixture.hpp"
+#include "simulated_world.hpp"
 
+#include "foxtaillift/base/error.hpp"
+#include "foxtaillift/jobs/worker_record.hpp"
+
+#include <cstddef>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -10,6 +16,7 @@
 namespace base = foxtaillift::base;
 using namespace foxtaillift::jobs;
 using fixture = foxtaillift::jobs::testing::scheduler_fixture;
+using foxtaillift::jobs::testing::simulated_world;
 
 namespace
 {
@@ -136,3 +143,96 @@
     REQUIRE(record.size() == 1);
     CHECK(record[0].lease_age == base::milliseconds(1000));
 }
+
+namespace
+{
+
+constexpr base::duration platform_lease = base::milliseconds(10'000);
+
+/// How long a task waits that a silent worker may run, with a lease that was
+/// sent as the leader took over, in ms.
+std::int64_t restart_time(std::optional<base::duration> recorded_lease)
+{
+    fixture test{
+        scheduler_options{.token = 2, .longest_lease = platform_lease}, true};
+    test.list("a");
+    test.list("b");
+    if (recorded_lease) {
+        test.decisions.take_longest_lease(*recorded_lease);
+    }
+    std::vector<closed_worker> const record{
+        {.id = "a", .lease_age = base::duration{}, .runs = {earlier_run}}};
+    test.decisions.take_closed(record, test.now);
+    test.add("j", one_task);
+    test.take<look_order>();
+    constexpr std::int64_t step_ms = 100;
+    constexpr std::int64_t longest_ms = 20'000;
+    for (std::int64_t waited = 0; waited < longest_ms; waited += step_ms) {
+        test.answer("b", test.report());
+        test.decisions.on_look(
+            "a", order_status::unknown, {}, test.now, test.now);
+        if (!test.take<start_order>().empty()) {
+            return waited;
+        }
+        test.wait(step_ms);
+    }
+    return longest_ms;
+}
+
+std::size_t leader_of(simulated_world const& world)
+{
+    std::size_t index = 0;
+    while (!world.hosts[index] || !world.hosts[index]->service->is_leading()) {
+        ++index;
+        REQUIRE(index < world.hosts.size());
+    }
+    return index;
+}
+
+} // namespace
+
+// Guards against TWICE while versions run side by side: a leader of a version
+// with longer leases recorded none, and its successor waited for its own.
+TEST_CASE("a successor waits for the longest lease that may be held")
+{
+    auto const recorded = base::milliseconds(6000);
+    CHECK(restart_time(recorded) >= 6120);
+    CHECK(restart_time(recorded) <= 6120 + 250 + 200);
+    CHECK(restart_time(std::nullopt) >= 10'200);
+}
+
+// Guards against the same fault: a leader of a version that does not write the
+// row leaves that of an earlier leader in place.
+TEST_CASE("the lease that another leader than the last recorded says nothing")
+{
+    for (bool const is_of_last : {true, false}) {
+        CAPTURE(is_of_last);
+        leader_options leading;
+        leading.scheduling.longest_lease = platform_lease;
+        simulated_world world{1, {}, leading};
+        world.run_for(base::seconds(20)); // whatever was before is over
+        auto const first = leader_of(world);
+        auto& row = world.store.rows.at({tables::lead, lead_keys::lease});
+        auto recorded = decode_lease(row.value);
+        CHECK(recorded.longest < base::milliseconds(6000));
+        if (!is_of_last) {
+            --recorded.token;
+            row.value = encode(recorded);
+        }
+        world.kill_host(first);
+        world.run_for(base::seconds(4));
+        auto const& next = *world.hosts[leader_of(world)]->service;
+        auto const held = next.decisions()->longest_lease_held(world.time.now);
+        CHECK(held == (is_of_last ? recorded.longest : platform_lease));
+        // The earlier leases are over in the end.
+        world.run_for(base::seconds(20));
+        CHECK(
+            next.decisions()->longest_lease_held(world.time.now) ==
+            recorded.longest);
+        CHECK(
+            decode_lease(
+                world.store.rows.at({tables::lead, lead_keys::lease}).value)
+                .longest == recorded.longest);
+    }
+    CHECK_THROWS_AS(decode_lease("2 x"), base::error);
+}
