Look each reported run up once

The worker's table of runs holds the task now, and a report looks each of its runs up once. The job clears that reference if its rows go while a worker reports a run of it.

--- a/libs/jobs/src/scheduler_core.hpp
+++ b/libs/jobs/src/scheduler_core.hpp
@@ -136,6 +136,14 @@
 /// The part of its speed below which a filling task goes on waiting.
 double least_speed_after(base::duration waited);
 
+/// A run as its worker reports it, of a job that is known.
+struct located_run
+{
+    reported_run const* reported = nullptr;
+    occupancy* taken = nullptr;
+    run_entry* entry = nullptr;
+};
+
 /// What a worker reports of a serving task at work.
 struct serving_reading
 {
@@ -227,6 +235,10 @@
     job_entry const* find_job(std::string_view id) const;
     task_place find_task(task_name const& task);
     run_entry* find_run(std::size_t worker, run_name const& run);
+    /// Null if the job is not known. Valid until a run of the task begins or
+    /// ends.
+    static run_entry*
+    find_run(std::size_t worker, run_name const& run, occupancy const& taken);
     void mark_dirty(job_entry& job);
     /// The rows of the job can go, but for its state.
     [[nodiscard]] bool is_removable(job_entry const& job) const;
@@ -244,6 +256,7 @@
     void end_job(job_entry& job, job_state state, std::string_view reason);
     void lose_runs(std::size_t worker, run_release reason, base::instant now);
     void forget_orphan(std::size_t worker, run_name const& run);
+    void forget_job(job_entry& job);
     /// Takes over the runs of a job that were reported before its row.
     void adopt_orphans(job_entry& job, base::instant now);
     [[nodiscard]] occupancy occupancy_of(step const& step);
@@ -333,8 +346,14 @@
         base::instant now);
     /// Ends the job if the task has failed as often as its queue allows.
     void end_if_exhausted(job_entry& job, std::size_t ordinal);
-    void on_running(
+    /// Returns what the run takes of the worker.
+    occupancy* on_running(
         std::size_t worker, reported_run const& reported, base::instant now);
+    /// The runs of jobs that are known; valid until a run begins or ends.
+    static std::vector<located_run> locate(
+        std::size_t worker,
+        std::span<reported_run const> running,
+        std::span<occupancy* const> taken);
     void
     adopt(std::size_t worker, reported_run const& reported, base::instant now);
     void on_absent(
@@ -342,15 +361,20 @@
         run_name const& run,
         base::instant sent_at,
         base::instant now);
-    void
-    check_progress(std::size_t worker, run_name const& run, base::instant now);
+    void check_progress(
+        std::size_t worker,
+        run_name const& run,
+        occupancy const& taken,
+        base::instant now);
 
     // scheduler_pacing.cpp
     void update_pace(
-        std::size_t worker, worker_report const& report, base::instant now);
+        std::size_t worker,
+        std::span<located_run const> running,
+        base::instant now);
     void update_served(
         std::size_t worker,
-        worker_report const& report,
+        std::span<located_run const> running,
         std::map<image_number, double> const& shares,
         base::instant now);
     void update_slowness(
@@ -381,6 +405,8 @@
         std::size_t worker,
         run_name const& run,
         base::instant now);
+    /// Of a look at a worker whose filling tasks are slowed down.
+    [[nodiscard]] base::duration paced_wait() const;
     void add_looks(
         std::vector<worker_order>& orders, base::instant now, bool may_grant);
 
@@ -405,8 +431,6 @@
     void leave_draining_workers(base::instant now);
     void leave_worker(std::size_t worker, base::instant now);
     /// The run cannot stay until the worker leaves, and may be stopped now.
-    /// Of a look at a worker whose filling tasks are slowed down.
-    [[nodiscard]] base::duration paced_wait() const;
     [[nodiscard]] bool is_to_leave(
         std::size_t worker,
         run_name const& run,
--- a/libs/jobs/src/scheduler_jobs.cpp
+++ b/libs/jobs/src/scheduler_jobs.cpp
@@ -126,11 +126,18 @@
 run_entry*
 scheduler::implementation::find_run(std::size_t worker, run_name const& run)
 {
-    auto const place = this->find_task(run.task);
-    if (!place) {
+    auto& runs = this->workers[worker].runs;
+    auto const found = runs.find(run);
+    return found == runs.end() ? nullptr : find_run(worker, run, found->second);
+}
+
+run_entry* scheduler::implementation::find_run(
+    std::size_t worker, run_name const& run, occupancy const& taken)
+{
+    if (taken.job == nullptr) {
         return nullptr;
     }
-    for (auto& entry : place.job->tasks[place.ordinal].runs) {
+    for (auto& entry : taken.job->tasks[taken.ordinal].runs) {
         if (entry.worker == worker && entry.attempt == run.attempt) {
             return &entry;
         }
@@ -287,8 +294,12 @@
         --job.steps[job.step_slot(name)].idle;
     }
     task.attempt = std::max(task.attempt, run.attempt);
-    this->workers[run.worker].occupy(
+    auto& worker = this->workers[run.worker];
+    worker.occupy(
         {name, run.attempt}, this->occupancy_of(job.spec.steps[name.step]));
+    auto& taken = worker.runs.at({name, run.attempt});
+    taken.job = &job;
+    taken.ordinal = ordinal;
     auto const& step = job.spec.steps[name.step];
     if (step.is_filling) {
         this->mix.add(
@@ -467,8 +478,24 @@
             continue;
         }
         this->keep_ended(item.job, item.progress.state);
-        this->jobs.erase(item.job);
+        this->forget_job(*job);
+    }
+}
+
+void scheduler::implementation::forget_job(job_entry& job)
+{
+    // A run that a worker reported while its job was being removed is over
+    // when the worker says so.
+    for (std::size_t i = 0; job.open_runs > 0 && i < job.tasks.size(); ++i) {
+        for (auto const& run : job.tasks[i].runs) {
+            auto& runs = this->workers[run.worker].runs;
+            auto const found = runs.find({job.name_of(i), run.attempt});
+            if (found != runs.end()) {
+                found->second.job = nullptr;
+            }
+        }
     }
+    this->jobs.erase(this->jobs.find(job.spec.id));
 }
 
 void scheduler::implementation::on_commit_failed(commit_batch const& batch)
--- a/libs/jobs/src/scheduler_pacing.cpp
+++ b/libs/jobs/src/scheduler_pacing.cpp
@@ -50,9 +50,8 @@
     base::instant now)
 {
     for (std::size_t i = 0; i < runs.size(); ++i) {
-        auto const* const run = runs[i];
-        if (run != nullptr && (run->pace != taken[i]->percent ||
-                               now < run->pace_doubtful_until)) {
+        if (runs[i]->pace != taken[i]->percent ||
+            now < runs[i]->pace_doubtful_until) {
             return true;
         }
     }
@@ -71,7 +70,7 @@
 } // namespace
 
 void scheduler::implementation::update_pace(
-    std::size_t index, worker_report const& report, base::instant now)
+    std::size_t index, std::span<located_run const> running, base::instant now)
 {
     auto& worker = this->workers[index];
     worker.paced.reset();
@@ -84,40 +83,33 @@
     std::map<image_number, double> shares;
     std::vector<occupancy*> filling_entries;
     std::vector<run_entry*> filling_runs;
-    for (auto const& reported : report.running) {
-        auto const found = worker.runs.find(reported.run);
-        if (found == worker.runs.end() || !found->second.is_filling) {
+    for (auto const& [reported, taken, entry] : running) {
+        if (!taken->is_filling) {
             continue;
         }
-        auto& taken = found->second;
-        worker.filling_used += reported.recent;
-        shares[taken.image] += static_cast<double>(reported.recent) / capacity;
-        auto const* const job = this->find_job(reported.run.task.job);
-        auto* const entry = this->find_run(index, reported.run);
-        auto const* const queue =
-            job == nullptr ? nullptr : this->queue_of(*job);
+        worker.filling_used += reported->recent;
+        shares[taken->image] +=
+            static_cast<double>(reported->recent) / capacity;
+        auto const* const queue = this->queue_of(*taken->job);
         worker.fillings.push_back(
-            {.image = taken.image,
+            {.image = taken->image,
              .full_share =
-                 static_cast<double>(taken.need.processors) / capacity,
-             .percent = taken.percent,
-             .urgency =
-                 entry == nullptr || queue == nullptr
-                     ? 1
-                     : urgency_of(
-                           *job, *queue, *entry, reported.run.task.step, now)});
-        filling_entries.push_back(&taken);
+                 static_cast<double>(taken->need.processors) / capacity,
+             .percent = taken->percent,
+             .urgency = queue == nullptr ? 1
+                                         : urgency_of(
+                                               *taken->job, *queue, *entry,
+                                               reported->run.task.step, now)});
+        filling_entries.push_back(taken);
         filling_runs.push_back(entry);
     }
-    this->update_served(index, report, shares, now);
+    this->update_served(index, running, shares, now);
     worker.versatility =
         this->mix.versatility(this->interference, worker.serving_images());
     if (worker.served.empty() || worker.fillings.empty()) {
         for (std::size_t i = 0; i < filling_entries.size(); ++i) {
             filling_entries[i]->percent = at_work;
-            if (filling_runs[i] != nullptr) {
-                note_pace(*filling_runs[i], at_work, now);
-            }
+            note_pace(*filling_runs[i], at_work, now);
         }
         for (auto& run : worker.fillings) {
             run.percent = at_work;
@@ -138,9 +130,7 @@
             (is_stop_or_full && percent != current)) {
             current = percent;
         }
-        if (filling_runs[i] != nullptr) {
-            note_pace(*filling_runs[i], current, now);
-        }
+        note_pace(*filling_runs[i], current, now);
     }
     worker.is_pace_due |= is_any_pace_due(filling_entries, filling_runs, now);
     worker.is_tight = slowed > 0 || margin_left < watched_margin;
@@ -148,7 +138,7 @@
 
 void scheduler::implementation::update_served(
     std::size_t index,
-    worker_report const& report,
+    std::span<located_run const> running,
     std::map<image_number, double> const& shares,
     base::instant now)
 {
@@ -159,22 +149,18 @@
         uses.push_back({.image = image, .share = share});
     }
     std::vector<serving_reading> readings;
-    for (auto const& reported : report.running) {
-        auto const found = worker.runs.find(reported.run);
-        auto const place = this->find_task(reported.run.task);
-        if (!place || found == worker.runs.end() || !found->second.is_serving ||
-            reported.percent < at_work || reported.recent <= 0) {
+    for (auto const& [reported, taken, entry] : running) {
+        if (!taken->is_serving || reported->percent < at_work ||
+            reported->recent <= 0) {
             continue;
         }
+        auto& job = *taken->job;
         readings.push_back(
-            {.run = &reported.run,
-             .taken = &found->second,
-             .headroom =
-                 &place.job->steps[place.job->step_slot(reported.run.task)]
-                      .headroom,
-             .tail_over_target =
-                 static_cast<double>(reported.recent) /
-                 static_cast<double>(found->second.tail_target_ms)});
+            {.run = &reported->run,
+             .taken = taken,
+             .headroom = &job.steps[job.step_slot(reported->run.task)].headroom,
+             .tail_over_target = static_cast<double>(reported->recent) /
+                                 static_cast<double>(taken->tail_target_ms)});
     }
     this->update_slowness(index, readings, uses);
     auto const capacity = static_cast<double>(
--- a/libs/jobs/src/scheduler_reports.cpp
+++ b/libs/jobs/src/scheduler_reports.cpp
@@ -184,22 +184,26 @@
     if (is_all_read) {
         worker.blocked.clear();
     }
+    auto const number = ++worker.reports;
     // A run whose end cannot be taken over yet is not lost.
-    std::set<std::reference_wrapper<run_name const>, std::less<run_name>>
-        present;
     for (auto const& end : report.ended) {
-        if (end.number > worker.processed) {
-            present.insert(end.run);
+        auto const found = end.number > worker.processed
+                               ? worker.runs.find(end.run)
+                               : worker.runs.end();
+        if (found != worker.runs.end()) {
+            found->second.report = number;
         }
     }
+    std::vector<occupancy*> taken;
+    taken.reserve(report.running.size());
     for (auto const& reported : report.running) {
-        present.insert(reported.run);
-        this->on_running(index, reported, now);
+        taken.push_back(this->on_running(index, reported, now));
+        taken.back()->report = number;
     }
     if (report.ended.size() < ends_in_report) {
         std::vector<run_name> absent;
-        for (auto const& [run, taken] : worker.runs) {
-            if (!present.contains(run)) {
+        for (auto const& [run, present] : worker.runs) {
+            if (present.report != number) {
                 absent.push_back(run);
             }
         }
@@ -207,7 +211,24 @@
             this->on_absent(index, run, sent_at, now);
         }
     }
-    this->update_pace(index, report, now);
+    this->update_pace(index, locate(index, report.running, taken), now);
+}
+
+std::vector<located_run> scheduler::implementation::locate(
+    std::size_t index,
+    std::span<reported_run const> running,
+    std::span<occupancy* const> taken)
+{
+    std::vector<located_run> result;
+    result.reserve(running.size());
+    for (std::size_t i = 0; i < running.size(); ++i) {
+        auto* const entry = find_run(index, running[i].run, *taken[i]);
+        if (entry != nullptr) {
+            result.push_back(
+                {.reported = &running[i], .taken = taken[i], .entry = entry});
+        }
+    }
+    return result;
 }
 
 bool scheduler::implementation::is_end_readable(
@@ -368,30 +389,35 @@
             std::to_string(failures) + " times");
 }
 
-void scheduler::implementation::on_running(
+occupancy* scheduler::implementation::on_running(
     std::size_t index, reported_run const& reported, base::instant now)
 {
-    auto* const run = this->find_run(index, reported.run);
+    auto& worker = this->workers[index];
+    auto found = worker.runs.find(reported.run);
+    auto* const run = found == worker.runs.end()
+                          ? nullptr
+                          : find_run(index, reported.run, found->second);
     if (run == nullptr) {
         this->adopt(index, reported, now);
-        return;
+        return &worker.runs.at(reported.run);
     }
+    auto& taken = found->second;
     if (run->phase != run_phase::running) {
         run->phase = run_phase::running;
         run->settled_at = now;
-        this->workers[index].unresolved.erase(reported.run);
+        worker.unresolved.erase(reported.run);
     }
     if (run->percent != reported.percent) {
         run->percent = reported.percent;
         run->progressed_at = now;
     }
-    auto* const job = this->find_job(reported.run.task.job);
-    auto const ordinal = job->ordinal(reported.run.task);
-    measure_work(*run, reported, job->spec.steps[reported.run.task.step], now);
+    auto& job = *taken.job;
+    measure_work(*run, reported, job.spec.steps[reported.run.task.step], now);
     if (!reported.checkpoint.empty()) {
-        job->tasks[*ordinal].checkpoint = reported.checkpoint;
+        job.tasks[taken.ordinal].checkpoint = reported.checkpoint;
     }
-    this->check_progress(index, reported.run, now);
+    this->check_progress(index, reported.run, taken, now);
+    return &taken;
 }
 
 void scheduler::implementation::adopt(
@@ -491,10 +517,13 @@
 }
 
 void scheduler::implementation::check_progress(
-    std::size_t index, run_name const& run, base::instant now)
+    std::size_t index,
+    run_name const& run,
+    occupancy const& taken,
+    base::instant now)
 {
-    auto* const entry = this->find_run(index, run);
-    auto* const job = this->find_job(run.task.job);
+    auto* const entry = find_run(index, run, taken);
+    auto* const job = taken.job;
     auto const& step = job->spec.steps[run.task.step];
     if (step.is_gang || is_final(job->state) ||
         this->stops.contains({index, run})) {
@@ -521,7 +550,7 @@
                   .add("percent", entry->percent)
                   .add("for_ms", now - entry->progressed_at));
     worker.barred_until = std::max(worker.barred_until, now + barred_time);
-    job->tasks[*job->ordinal(run.task)].avoided_worker = index;
+    job->tasks[taken.ordinal].avoided_worker = index;
     this->stop_run(index, run);
 }
 
--- a/libs/jobs/src/worker_table.hpp
+++ b/libs/jobs/src/worker_table.hpp
@@ -51,9 +51,15 @@
     base::instant at{};
 };
 
+struct job_entry;
+
 /// What a run takes of its worker.
 struct occupancy
 {
+    /// Its task; null as long as its job is not known.
+    job_entry* job = nullptr;
+    std::size_t ordinal = 0;
+    std::uint64_t report = 0; ///< the last one of the worker that named it
     resources need{};
     bool is_filling = false;
     bool is_serving = false;
@@ -102,6 +108,7 @@
     base::instant heard_at{-1'000'000};      ///< time of the last report
     base::instant heard_sent_at{-1'000'000}; ///< when that look was sent
 
+    std::uint64_t reports = 0;     ///< taken over
     std::int64_t processed = 0;    ///< ends taken over into the jobs
     std::int64_t acknowledged = 0; ///< ends that are durable
     /// Ends taken over and not acknowledged, by number.
