Let the simulation see a start whose earlier end is noted later

The simulated workers flagged a start after its task's end had been acknowledged, not one between the end and its acknowledgement, unless the lease ran out in between.

--- a/libs/jobs/tests/simulated_ports.cpp
+++ b/libs/jobs/tests/simulated_ports.cpp
@@ -189,6 +189,7 @@
         }
         worker->token = order.token;
         auto const now = this->now().ms;
+        this->world.check_lapse(*worker);
         if (order.lease_until_ms) {
             worker->lease_until = std::max(
                 worker->lease_until,
@@ -196,12 +197,7 @@
                     *order.lease_until_ms,
                     now + simulated_worker::longest_lease_ms));
         }
-        for (auto const& end : worker->ends) {
-            if (end.number <= order.acknowledged &&
-                end.outcome == run_outcome::done) {
-                this->world.noted.insert(end.run.task);
-            }
-        }
+        this->world.acknowledge(*worker, order.acknowledged);
         auto const acknowledged =
             std::erase_if(worker->ends, [&](reported_end const& end) {
                 return end.number <= order.acknowledged;
--- a/libs/jobs/tests/simulated_world.cpp
+++ b/libs/jobs/tests/simulated_world.cpp
@@ -142,6 +142,10 @@
     restarted.stopped.clear();
     restarted.ends.clear();
     restarted.end_count = 0;
+    restarted.lapsed_ends = 0;
+    std::erase_if(this->repeated, [&](auto const& each) {
+        return each.first == restarted.id;
+    });
 }
 
 simulated_world::simulated_world(
@@ -337,6 +341,46 @@
     worker.runs.erase(found);
 }
 
+void simulated_world::check_lapse(simulated_worker& worker)
+{
+    if (worker.lease_until >= this->time.now.ms) {
+        return;
+    }
+    while (!worker.runs.empty()) {
+        this->end_run(worker, worker.runs.begin()->first, run_outcome::lapsed);
+    }
+    worker.lapsed_ends = worker.end_count;
+}
+
+void simulated_world::note_repeated(task_name const& task)
+{
+    for (auto const& worker : this->workers) {
+        for (auto const& end : worker.ends) {
+            if (end.run.task == task && end.outcome == run_outcome::done &&
+                end.number > worker.lapsed_ends) {
+                this->repeated.emplace(worker.id, end.number);
+            }
+        }
+    }
+}
+
+void simulated_world::acknowledge(
+    simulated_worker const& worker, std::int64_t number)
+{
+    for (auto const& end : worker.ends) {
+        if (end.number > number || end.outcome != run_outcome::done) {
+            continue;
+        }
+        this->noted.insert(end.run.task);
+        if (end.number > worker.lapsed_ends &&
+            this->repeated.contains({worker.id, end.number})) {
+            this->violations.push_back(
+                to_string(end.run.task) + " started again before its end was "
+                                          "noted");
+        }
+    }
+}
+
 /// Ends what is due and lets leases run out.
 void simulated_world::update(simulated_worker& worker)
 {
@@ -349,9 +393,7 @@
     for (auto const& task : due) {
         this->end_run(worker, task, run_outcome::done);
     }
-    while (worker.lease_until < this->time.now.ms && !worker.runs.empty()) {
-        this->end_run(worker, worker.runs.begin()->first, run_outcome::lapsed);
-    }
+    this->check_lapse(worker);
     this->time.at(this->time.now + base::milliseconds(10), [this, &worker] {
         this->update(worker);
     });
@@ -395,6 +437,7 @@
     if (this->noted.contains(order.run.task)) {
         this->violations.push_back(text + " starts after its end was noted");
     }
+    this->note_repeated(order.run.task);
     for (auto const& other : this->workers) {
         if (other.runs.contains(order.run.task)) {
             this->violations.push_back(text + " runs twice");
--- a/libs/jobs/tests/simulated_world.hpp
+++ b/libs/jobs/tests/simulated_world.hpp
@@ -90,6 +90,9 @@
     std::map<task_name, std::uint32_t> stopped{}; ///< highest attempt
     std::vector<reported_end> ends{};
     std::int64_t end_count = 0;
+    /// Ends up to this number were listed as the lease ran out: their tasks may
+    /// start again.
+    std::int64_t lapsed_ends = 0;
     bool is_reachable = true;
     bool is_refusing = false; ///< connections, at once; what runs goes on
     bool is_listed = true;    ///< by the platform
@@ -245,6 +248,10 @@
     [[nodiscard]] bool is_store_silent_for(std::string const& host) const;
     void end_run(
         simulated_worker& worker, task_name const& task, run_outcome outcome);
+    void check_lapse(simulated_worker& worker);
+    /// Notes the ends that a start of the task makes invalid.
+    void note_repeated(task_name const& task);
+    void acknowledge(simulated_worker const& worker, std::int64_t number);
     static worker_info entry_of(simulated_worker const& worker);
     void update(simulated_worker& worker);
     order_status start(simulated_worker& worker, start_order const& order);
@@ -257,6 +264,9 @@
 
     std::set<std::string> started{}; ///< jobs
     std::set<task_name> noted{};     ///< done, and acknowledged by a leader
+    /// Done by a listed end of a worker, and started again; it must not be
+    /// acknowledged any more.
+    std::set<std::pair<std::string, std::int64_t>> repeated{};
     std::vector<std::unique_ptr<simulated_host>> ended_hosts{};
     std::map<std::string, resources> needs{}; ///< of a task, by job
 };
