Record a worker until its ends are durable

What callers could see: a task starts again whose end is noted later (TWICE). A worker whose entry the platform had dropped for over 3 s went from the record when nothing ran there, though its last end was read and not durable yet. A successor did not know of the worker.

Whoever asks whether a worker is in use now counts ends that are not durable or not read as well; a silent worker with such ends is still asked.

Found by a review of the mends. Test: jobs_test, "a worker is recorded until its ends are durable".

--- a/libs/jobs/src/scheduler.cpp
+++ b/libs/jobs/src/scheduler.cpp
@@ -255,7 +255,7 @@
         bool const is_doubtful = !this->impl->is_recovered && !worker.is_heard;
         bool const may_run =
             !worker.is_gone &&
-            (worker.is_listed || !worker.runs.empty() || is_doubtful);
+            (worker.is_listed || worker.has_work() || is_doubtful);
         if (may_run || implementation::may_start_unlisted(worker, now)) {
             result.push_back(&worker.info);
         }
--- a/libs/jobs/src/scheduler_closing.cpp
+++ b/libs/jobs/src/scheduler_closing.cpp
@@ -50,7 +50,7 @@
     for (std::size_t i = 0; i < this->workers.size(); ++i) {
         auto& worker = this->workers[i];
         bool const is_silent = worker.silent_looks > 0 || !worker.is_heard;
-        bool const is_in_use = worker.is_listed || !worker.runs.empty();
+        bool const is_in_use = worker.is_listed || worker.has_work();
         if ((!is_silent && !is_leaving(worker)) || !is_in_use ||
             !worker.is_accounted()) {
             continue;
--- a/libs/jobs/src/scheduler_orders.cpp
+++ b/libs/jobs/src/scheduler_orders.cpp
@@ -314,7 +314,7 @@
         if (now < worker.look_due) {
             continue;
         }
-        bool const is_abandoned = !worker.is_listed && worker.runs.empty();
+        bool const is_abandoned = !worker.is_listed && !worker.has_work();
         if (is_abandoned && this->is_recovered &&
             (worker.is_gone || worker.silent_looks > 0)) {
             continue;
--- a/libs/jobs/src/worker_table.hpp
+++ b/libs/jobs/src/worker_table.hpp
@@ -159,6 +159,13 @@
                               : this->inherited_until || this->is_lease_unknown;
     }
 
+    /// Something runs there, or an end of it is not taken over or not durable.
+    [[nodiscard]] bool has_work() const
+    {
+        return !this->runs.empty() || !this->unacknowledged.empty() ||
+               !this->blocked.empty();
+    }
+
     void occupy(run_name const& run, occupancy const& taken);
     void release(run_name const& run);
     void add_filling(filling_run const& run);
--- a/libs/jobs/tests/worker_roster_test.cpp
+++ b/libs/jobs/tests/worker_roster_test.cpp
@@ -182,3 +182,30 @@
     leader.write();
     CHECK(roster.is_recorded(one.id));
 }
+
+// Guards against TWICE: a successor that does not know of a worker starts again
+// what ended there, if the end is not durable yet.
+TEST_CASE("a worker is recorded until its ends are durable")
+{
+    recorded_roster leader;
+    auto& roster = leader.roster;
+    auto& test = leader.fixture;
+    test.list("a");
+    roster.list({.id = "a", .address = "a", .service = "s"});
+    leader.write();
+    test.take<look_order>();
+    test.answer("a", test.report());
+    test.add("j", {.count = 1, .need = {.processors = 1000}});
+    auto const starts = test.take<start_order>();
+    REQUIRE(starts.size() == 1);
+    test.decisions.unlist_worker("a", test.now);
+    roster.unlist("a");
+    test.wait(4000);
+    auto report = test.report();
+    report.ended = {
+        {.number = 1, .run = starts[0].run, .outcome = run_outcome::done}};
+    test.answer("a", report);
+    CHECK(roster.to_record(test.decisions, test.now).empty());
+    test.decisions.on_committed(test.decisions.take_commit(50));
+    CHECK(roster.to_record(test.decisions, test.now).size() == 1);
+}
