Keep tasks whose listed ends cannot be read yet

What callers could see: a task starts again whose end is noted later (TWICE). A new leader that lacks the row of a job leaves the end of its task and all ends behind it unread. If the store was away for over 9 s, the recovery ended as if all leases were over, and tasks behind that end started again, although their worker had answered all the while and kept its lease.

Cause: the end of the longest lease proves nothing for a worker that answers. The runs of unread ends count as present until the ends are read or the worker's lease is over.

Test: jobs_test, "no task starts while its worker lists an end that is not read"; "a job whose row comes late counts as inherited" checks the other side, too.

--- a/libs/jobs/src/scheduler_core.hpp
+++ b/libs/jobs/src/scheduler_core.hpp
@@ -330,6 +330,11 @@
         worker_report const& report,
         base::instant sent_at,
         base::instant now);
+    /// Keeps the runs of these ends as present until the ends are read.
+    void hold_unread_ends(
+        std::size_t worker,
+        std::span<reported_end const> ends,
+        base::instant now);
     /// False if the end has to be read again later.
     bool is_end_readable(
         std::size_t worker, reported_end const& end, base::instant now);
--- a/libs/jobs/src/scheduler_jobs.cpp
+++ b/libs/jobs/src/scheduler_jobs.cpp
@@ -351,7 +351,8 @@
 void scheduler::implementation::lose_runs(
     std::size_t worker, run_release reason, base::instant now)
 {
-    auto const& lost = this->workers[worker];
+    auto& lost = this->workers[worker];
+    lost.blocked.clear(); // by the platform's rules they count for nothing
     auto const runs = lost.runs;
     if (runs.empty()) {
         return;
--- a/libs/jobs/src/scheduler_reports.cpp
+++ b/libs/jobs/src/scheduler_reports.cpp
@@ -166,11 +166,7 @@
     for (auto const& end : report.ended) {
         if (end.number > worker.processed) {
             if (!this->is_end_readable(index, end, now)) {
-                for (auto const& later : report.ended) {
-                    if (later.number > worker.processed) {
-                        worker.blocked.emplace(later.number, now);
-                    }
-                }
+                this->hold_unread_ends(index, report.ended, now);
                 break;
             }
             worker.blocked.erase(end.number);
@@ -231,6 +227,23 @@
     return result;
 }
 
+void scheduler::implementation::hold_unread_ends(
+    std::size_t index, std::span<reported_end const> ends, base::instant now)
+{
+    auto& worker = this->workers[index];
+    for (auto const& end : ends) {
+        if (end.number <= worker.processed) {
+            continue;
+        }
+        worker.blocked.emplace(end.number, now);
+        // Its task must not start while the end may still be acknowledged.
+        if (!worker.runs.contains(end.run)) {
+            this->adopt(
+                index, {.run = end.run, .checkpoint = end.checkpoint}, now);
+        }
+    }
+}
+
 bool scheduler::implementation::is_end_readable(
     std::size_t index, reported_end const& end, base::instant now)
 {
--- a/libs/jobs/tests/takeover_test.cpp
+++ b/libs/jobs/tests/takeover_test.cpp
@@ -57,6 +57,43 @@
     CHECK(test.decisions.state_of("j") == job_state::completed);
 }
 
+// Guards against TWICE: the recovery ends when all leases of an earlier leader
+// are over, but a worker that answers keeps what it lists; an end that could
+// not be read yet was acknowledged after its task had started again.
+TEST_CASE("no task starts while its worker lists an end that is not read")
+{
+    fixture test{2, true};
+    test.add("k", one_task);
+    test.decisions.begin_recovery(test.now); // the job is inherited
+    test.list("a");
+    test.list("b");
+    test.take<look_order>();
+    auto const report_ends = [&] {
+        auto report = report_of_end(test); // of a job without a row
+        report.ended.push_back(
+            {.number = 2,
+             .run = {{.job = "k"}, 1},
+             .outcome = run_outcome::done});
+        test.answer("a", report);
+        test.answer("b", test.report());
+    };
+    constexpr int steps = 200; // 20 s without an answer of the store
+    for (int i = 0; i < steps; ++i) {
+        report_ends();
+        test.wait(100);
+        CHECK(test.take<start_order>().empty());
+        CHECK(test.last_look["a"].acknowledged == 0);
+    }
+    REQUIRE(test.decisions.is_recovered(test.now));
+    test.add("j", one_task);
+    CHECK(test.take<start_order>().empty());
+    report_ends();
+    CHECK(test.take<start_order>().empty());
+    test.decisions.on_committed(test.decisions.take_commit(50));
+    CHECK(test.decisions.state_of("j") == job_state::completed);
+    CHECK(test.decisions.state_of("k") == job_state::completed);
+}
+
 // Guards against TWICE: a deposed leader grants leases for 2.5 s at most, but
 // the row of a job that it started then may reach its successor later.
 TEST_CASE("a job whose row comes late counts as inherited")
@@ -82,6 +119,12 @@
         CHECK(test.take<start_order>().empty());
         test.wait(100);
     }
+    // What is stored later is new.
+    test.decisions.on_jobs_read(test.now);
+    test.add("new", one_task);
+    auto const starts = test.take<start_order>();
+    REQUIRE(starts.size() == 1);
+    CHECK(starts[0].run.task.job == "new");
 }
 
 // Guards against TWICE: entries of workers that run on are missing for a while
