--- a/libs/jobs/src/scheduler_jobs.cpp
+++ b/libs/jobs/src/scheduler_jobs.cpp
@@ -352,7 +352,8 @@
     std::size_t worker, run_release reason, base::instant now)
 {
     auto& lost = this->workers[worker];
-    lost.blocked.clear(); // by the platform's rules they count for nothing
+    // Ends that were listed before the lease ran out bind nobody.
+    lost.blocked.clear();
     auto const runs = lost.runs;
     if (runs.empty()) {
         return;
