--- a/libs/jobs/include/foxtaillift/jobs/leader.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/leader.hpp
@@ -162,11 +162,13 @@
         if (this->is_stopped) {
             return;
         }
+        auto const now = this->ports.now();
+        this->longest_tick_gap =
+            std::max(this->longest_tick_gap, now - this->ticked_at);
+        this->ticked_at = now;
         if (!this->loaded) {
             this->writer->beat();
-        } else if (
-            this->ports.now() - this->load_logged_at >=
-            this->options.load_interval) {
+        } else if (now - this->load_logged_at >= this->options.load_interval) {
             this->log_load();
         }
         this->wake();
@@ -324,23 +326,32 @@
         this->load_logged_at = now;
         auto const load = this->decisions.load(now);
         auto const writes = this->writer->take_load();
-        this->ports.log(base::event_line{"fleet_load"}
-                            .add("workers", load.workers)
-                            .add("usable", load.usable_workers)
-                            .add("processors", load.capacity.processors)
-                            .add("used", load.used.processors)
-                            .add("serving", load.serving_processors)
-                            .add("filling", load.filling_processors)
-                            .add("serving_used", load.serving_used)
-                            .add("filling_paced", load.filling_paced)
-                            .add("filling_used", load.filling_used)
-                            .add("exceeding_runs", load.exceeding_runs)
-                            .add("memory_mb", load.capacity.memory_mb)
-                            .add("used_mb", load.used.memory_mb)
-                            .add("decisions", this->decision_count)
-                            .add("deciding_ms", this->deciding)
-                            .add("writes", writes.count)
-                            .add("writing_ms", writes.time));
+        auto const sent = this->orders->take_counts();
+        this->ports.log(
+            base::event_line{"fleet_load"}
+                .add("workers", load.workers)
+                .add("usable", load.usable_workers)
+                .add("processors", load.capacity.processors)
+                .add("used", load.used.processors)
+                .add("serving", load.serving_processors)
+                .add("filling", load.filling_processors)
+                .add("serving_used", load.serving_used)
+                .add("filling_paced", load.filling_paced)
+                .add("filling_used", load.filling_used)
+                .add("exceeding_runs", load.exceeding_runs)
+                .add("memory_mb", load.capacity.memory_mb)
+                .add("used_mb", load.used.memory_mb)
+                .add("decisions", this->decision_count)
+                .add("deciding_ms", this->deciding)
+                .add("writes", writes.count)
+                .add("writing_ms", writes.time)
+                .add("looks", sent.looks)
+                .add("starts", sent.starts)
+                .add("stops", sent.stops)
+                .add("paces", sent.paces)
+                .add("answer_ms", this->decisions.usual_answer_time())
+                .add("tick_gap_ms", this->longest_tick_gap));
+        this->longest_tick_gap = {};
         this->decision_count = 0;
         this->deciding = {};
         for (auto const& [name, queue] : load.queues) {
@@ -429,9 +440,11 @@
     std::optional<typename record_writer<Ports>::stored_change>
         awaited_change{};
     base::instant load_logged_at{-1'000'000};
+    base::instant ticked_at = this->ports.now();
     // Since the last line on the load.
     int decision_count = 0;
     base::duration deciding{}; ///< time of the decisions
+    base::duration longest_tick_gap{};
     bool is_awake = false;
     bool loaded = false;
     bool is_stopped = false;
--- a/libs/jobs/include/foxtaillift/jobs/order_sender.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/order_sender.hpp
@@ -43,6 +43,16 @@
     /// destroyed.
     void stop() { this->is_stopped = true; }
 
+    /// Orders since the last call, by kind.
+    struct order_counts
+    {
+        int looks = 0;
+        int starts = 0;
+        int stops = 0;
+        int paces = 0;
+    };
+    order_counts take_counts() { return std::exchange(this->counts, {}); }
+
 private:
     template <class Function>
     auto guarded(Function function)
@@ -57,6 +67,7 @@
 
     void carry_out(look_order const& order)
     {
+        ++this->counts.looks;
         auto const sent_at = this->ports.now();
         this->ports.look(
             order, this->guarded([this, id = order.worker, sent_at,
@@ -71,6 +82,7 @@
 
     void carry_out(start_order const& order)
     {
+        ++this->counts.starts;
         this->ports.start(
             order, this->guarded([this, id = order.worker,
                                   run = order.run](order_status status) {
@@ -83,6 +95,7 @@
 
     void carry_out(stop_order const& order)
     {
+        ++this->counts.stops;
         this->ports.stop(
             order, this->guarded([this, id = order.worker,
                                   run = order.run](order_status status) {
@@ -93,6 +106,7 @@
 
     void carry_out(pace_order const& order)
     {
+        ++this->counts.paces;
         this->ports.pace(
             order, this->guarded([this, id = order.worker,
                                   run = order.run](order_status status) {
@@ -116,6 +130,7 @@
     Ports& ports;
     scheduler& decisions;
     std::function<void()> wake;
+    order_counts counts{};
     bool is_stopped = false;
 };
 
--- a/libs/jobs/include/foxtaillift/jobs/scheduler.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/scheduler.hpp
@@ -222,6 +222,8 @@
     [[nodiscard]] std::size_t running_count() const;
     [[nodiscard]] fleet_load load(base::instant now) const;
     [[nodiscard]] std::size_t job_count() const;
+    /// Starts and paces are usually answered after this long.
+    [[nodiscard]] base::duration usual_answer_time() const;
 
     class implementation;
     /// For views.hpp.
--- a/libs/jobs/src/scheduler.cpp
+++ b/libs/jobs/src/scheduler.cpp
@@ -236,6 +236,11 @@
     return this->impl->is_majority_heard(since, now);
 }
 
+base::duration scheduler::usual_answer_time() const
+{
+    return this->impl->answers.usual();
+}
+
 bool scheduler::is_recovered(base::instant now) const
 {
     return this->impl->update_recovery(now);
