--- a/libs/jobs/tests/simulated_ports.cpp
+++ b/libs/jobs/tests/simulated_ports.cpp
@@ -32,6 +32,40 @@
 
 void simulated_ports::after(
     base::duration delay, std::function<void()> callback)
+{
+    if (this->one_way_us() == 0) {
+        this->later(delay, std::move(callback));
+        return;
+    }
+    this->later(delay, [this, callback = std::move(callback)] {
+        auto const free_at = this->processor.free_at(this->now());
+        this->later(free_at - this->now(), callback);
+    });
+}
+
+std::int64_t simulated_ports::one_way_us() const
+{
+    return this->world.fleet.message_us / 2;
+}
+
+base::instant simulated_ports::arrival()
+{
+    return this->processor.take_up(this->now(), this->one_way_us()) + one_way;
+}
+
+void simulated_ports::receive(std::function<void()> const& callback)
+{
+    if (this->one_way_us() == 0) {
+        callback();
+        return;
+    }
+    auto const done_at =
+        this->processor.take_up(this->now(), this->one_way_us());
+    this->later(done_at - this->now(), callback);
+}
+
+void simulated_ports::later(
+    base::duration delay, std::function<void()> callback)
 {
     this->world.time.at(
         this->now() + delay, [this, callback = std::move(callback)] {
@@ -43,7 +77,7 @@
 
 void simulated_ports::reply(std::function<void()> const& callback)
 {
-    this->after(one_way, callback);
+    this->later(one_way, [this, callback] { this->receive(callback); });
 }
 
 void simulated_ports::log(base::event_line const&) {}
@@ -54,9 +88,12 @@
     std::string const& to,
     std::function<void(rows_result)> const& callback)
 {
-    this->after(one_way, [=, this] {
+    this->world.time.at(this->arrival(), [=, this] {
+        if (!this->is_alive) {
+            return;
+        }
         if (this->world.is_store_silent_for(this->host)) {
-            this->after(call_timeout, [=] { callback({}); });
+            this->later(call_timeout, [=] { callback({}); });
             return;
         }
         rows_result result{.status = store_status::not_done};
@@ -72,7 +109,7 @@
                 }
             }
         }
-        this->after(this->world.store.read_time, [=, this] {
+        this->later(this->world.store.read_time, [=, this] {
             this->reply([=] { callback(result); });
         });
     });
@@ -85,9 +122,9 @@
     std::function<void(rows_result)> const& callback)
 {
     // Polled: the follower does not see the difference.
-    this->after(base::milliseconds(20), [=, this] {
+    this->later(base::milliseconds(20), [=, this] {
         if (this->world.is_store_silent_for(this->host)) {
-            this->after(call_timeout, [=] { callback({}); });
+            this->later(call_timeout, [=] { callback({}); });
             return;
         }
         if (this->world.store.is_down) {
@@ -101,7 +138,11 @@
                 result.rows.push_back(row);
             }
         }
-        callback(result);
+        if (result.rows.empty()) {
+            callback(result);
+        } else {
+            this->receive([=] { callback(result); });
+        }
     });
 }
 
@@ -122,7 +163,7 @@
             }
         });
     }
-    auto const arrival = this->now() + one_way;
+    auto const arrival = this->arrival();
     auto const begin = std::max(arrival, store.free_at);
     bool const is_refused = begin - arrival > base::seconds(1);
     if (!is_refused) {
@@ -137,13 +178,13 @@
                 store.apply(change);
             }
         });
-        this->after(call_timeout, [=] { callback({}); });
+        this->later(call_timeout, [=] { callback({}); });
         return;
     }
     this->world.time.at(end, [=, this, &store] {
         change_result result{.status = store_status::not_done};
         if (this->world.is_store_silent_for(this->host)) {
-            this->after(call_timeout, [=] { callback({}); });
+            this->later(call_timeout, [=] { callback({}); });
             return;
         }
         if (is_refused) {
@@ -158,7 +199,7 @@
             }
         }
         if (is_lost) {
-            this->after(call_timeout, [=] {
+            this->later(call_timeout, [=] {
                 callback({.status = store_status::unknown});
             });
         } else {
@@ -172,10 +213,10 @@
     std::function<void(order_status, worker_report const&)> const& callback)
 {
     bool const is_lost = this->world.happens(this->world.faults.lost);
-    this->world.time.at(this->now() + one_way, [=, this] {
+    this->world.time.at(this->arrival(), [=, this] {
         auto* const worker = this->world.reach(order.worker);
         if (worker == nullptr) {
-            this->after(
+            this->later(
                 call_timeout, [=] { callback(order_status::unknown, {}); });
             return;
         }
@@ -205,22 +246,41 @@
         if (acknowledged > 0) {
             this->world.note_effect(this->host);
         }
-        worker_report report{.clock_ms = now, .born_ms = worker->born};
-        report.ended = worker->ends;
-        for (auto const& [task, run] : worker->runs) {
-            report.running.push_back(
-                {.run = run.name, .percent = static_cast<int>(now / 50 % 100)});
-        }
         if (is_lost) {
-            this->after(
+            this->later(
                 call_timeout, [=] { callback(order_status::unknown, {}); });
-            return;
+        } else if (this->world.fleet.holds_looks) {
+            this->answer_look(order, this->now(), callback);
+        } else {
+            // The answer waits a little for an end, as a real one does.
+            auto const report = simulated_world::report_of(*worker, now);
+            this->later(base::milliseconds(100), [=] {
+                callback(order_status::done, report);
+            });
         }
-        // The answer waits a little for an end, as a real one does.
-        this->after(base::milliseconds(100), [=] {
+    });
+}
+
+void simulated_ports::answer_look(
+    look_order const& order,
+    base::instant asked_at,
+    std::function<void(order_status, worker_report const&)> const& callback)
+{
+    constexpr base::duration step = base::milliseconds(10);
+    auto* const worker = this->world.reach(order.worker);
+    if (worker == nullptr) {
+        this->later(call_timeout, [=] { callback(order_status::unknown, {}); });
+        return;
+    }
+    if (worker->ends.empty() && this->now() - asked_at < order.wait) {
+        this->later(
+            step, [=, this] { this->answer_look(order, asked_at, callback); });
+        return;
+    }
+    this->reply(
+        [=, report = simulated_world::report_of(*worker, this->now().ms)] {
             callback(order_status::done, report);
         });
-    });
 }
 
 void simulated_ports::start(
@@ -232,7 +292,7 @@
     auto const delay =
         is_late ? base::milliseconds(
                       500 + base::uniform_below(this->world.random, 3500))
-                : one_way;
+                : this->arrival() - this->now();
     auto const born = this->world.born_of(order.worker);
     this->world.time.at(this->now() + delay, [=, this] {
         auto* const worker = this->world.reach(order.worker);
@@ -249,20 +309,20 @@
             return; // the caller has given up before
         }
         if (is_lost || worker == nullptr) {
-            this->after(call_timeout, [=] { callback(order_status::unknown); });
+            this->later(call_timeout, [=] { callback(order_status::unknown); });
         } else {
             this->reply([=] { callback(status); });
         }
     });
     if (is_late) {
-        this->after(call_timeout, [=] { callback(order_status::unknown); });
+        this->later(call_timeout, [=] { callback(order_status::unknown); });
     }
 }
 
 void simulated_ports::stop(
     stop_order const& order, std::function<void(order_status)> const& callback)
 {
-    this->world.time.at(this->now() + one_way, [=, this] {
+    this->world.time.at(this->arrival(), [=, this] {
         auto* const worker = this->world.reach(order.worker);
         bool const is_lost = this->world.happens(this->world.faults.lost);
         auto status = order_status::done;
@@ -284,7 +344,7 @@
             }
         }
         if (is_lost || worker == nullptr) {
-            this->after(call_timeout, [=] { callback(order_status::unknown); });
+            this->later(call_timeout, [=] { callback(order_status::unknown); });
         } else {
             this->reply([=] { callback(status); });
         }
@@ -309,19 +369,21 @@
     peer_request const& request,
     std::function<void(std::optional<peer_reply>)> const& callback)
 {
-    this->after(one_way, [=, this] {
+    this->later(this->arrival() - this->now(), [=, this] {
         for (auto const& peer : this->world.hosts) {
             bool const is_cut =
                 this->world.is_cut(address) || this->world.is_cut(this->host);
             if (peer && peer->is_alive && peer->host == address && !is_cut) {
-                peer->service->on_peer(
-                    request, [=, this](peer_reply const& answer) {
-                        this->reply([=] { callback(answer); });
-                    });
+                peer->receive([=, this, &peer = *peer] {
+                    peer.service->on_peer(
+                        request, [=, this](peer_reply const& answer) {
+                            this->reply([=] { callback(answer); });
+                        });
+                });
                 return;
             }
         }
-        this->after(call_timeout, [=] { callback(std::nullopt); });
+        this->later(call_timeout, [=] { callback(std::nullopt); });
     });
 }
 
@@ -330,7 +392,7 @@
     if (!is_wanted) {
         return;
     }
-    this->after(one_way, [this] {
+    this->later(one_way, [this] {
         for (auto const& worker : this->world.workers) {
             if (worker.is_listed) {
                 this->on_worker(simulated_world::entry_of(worker));
--- a/libs/jobs/tests/simulated_world.cpp
+++ b/libs/jobs/tests/simulated_world.cpp
@@ -28,6 +28,22 @@
     this->now = end;
 }
 
+base::instant
+simulated_processor::take_up(base::instant now, std::int64_t work_us)
+{
+    constexpr std::int64_t us_per_ms = 1000;
+    this->busy_until_us =
+        std::max(this->busy_until_us, now.ms * us_per_ms) + work_us;
+    return this->free_at(now);
+}
+
+base::instant simulated_processor::free_at(base::instant now) const
+{
+    constexpr std::int64_t us_per_ms = 1000;
+    return std::max(
+        now, base::instant{(this->busy_until_us + us_per_ms - 1) / us_per_ms});
+}
+
 namespace
 {
 
@@ -97,6 +113,18 @@
         .is_draining = worker.is_draining};
 }
 
+worker_report
+simulated_world::report_of(simulated_worker const& worker, std::int64_t now_ms)
+{
+    worker_report report{.clock_ms = now_ms, .born_ms = worker.born};
+    report.ended = worker.ends;
+    for (auto const& [task, run] : worker.runs) {
+        report.running.push_back(
+            {.run = run.name, .percent = static_cast<int>(now_ms / 50 % 100)});
+    }
+    return report;
+}
+
 void simulated_world::tell_hosts(
     std::function<void(simulated_host&)> const& tell)
 {
@@ -152,13 +180,16 @@
     std::uint32_t seed,
     fault_rates rates,
     leader_options wanted,
-    simulated_fleet const& fleet)
+    simulated_fleet wanted_fleet)
     : random(seed)
     , faults(rates)
     , leading(std::move(wanted))
+    , fleet(std::move(wanted_fleet))
 {
-    for (std::size_t i = 0; i < fleet.workers; ++i) {
-        this->workers.push_back({.id = fleet.prefix + std::to_string(i)});
+    for (std::size_t i = 0; i < this->fleet.workers; ++i) {
+        this->workers.push_back(
+            {.id = this->fleet.prefix + std::to_string(i),
+             .capacity = this->fleet.capacity});
     }
     this->hosts.resize(host_count);
     for (std::size_t i = 0; i < host_count; ++i) {
@@ -300,19 +331,39 @@
     std::uint32_t tasks,
     std::size_t payload_bytes)
 {
-    if (!this->hosts[host]) {
-        return;
-    }
     job_spec job{
         .id = id, .queue = this->configuration.routes.front().target.name};
     job.payload.assign(payload_bytes, 'x');
     resources const need{.processors = 900, .memory_mb = 10};
     job.steps.push_back({.count = tasks, .need = need});
     job.steps.push_back({.count = 1, .need = need, .depends_on = {0}});
-    this->needs[id] = need;
+    this->submit_job(host, job);
+}
+
+void simulated_world::submit(std::size_t host, simulated_job const& wanted)
+{
+    job_spec job{
+        .id = wanted.id,
+        .queue = this->configuration.routes.front().target.name};
+    job.steps.push_back(
+        {.count = wanted.tasks, .need = wanted.need, .estimate = wanted.work});
+    if (wanted.work.ms > 0) {
+        this->works[wanted.id] = wanted.work;
+    }
+    this->submit_job(host, job);
+}
+
+void simulated_world::submit_job(std::size_t host, job_spec const& job)
+{
+    if (!this->hosts[host]) {
+        return;
+    }
+    this->needs[job.id] = job.steps.front().need;
+    this->submitted_at[job.id] = this->time.now;
     this->hosts[host]->service->submit(
         job, base::seconds(3),
-        [this, id, asked_at = this->time.now](request_outcome outcome) {
+        [this, id = job.id,
+         asked_at = this->time.now](request_outcome outcome) {
             if (outcome == request_outcome::accepted) {
                 this->accepted.insert(id);
             } else if (outcome == request_outcome::refused) {
@@ -425,6 +476,7 @@
             order.lease_until_ms, now + simulated_worker::longest_lease_ms));
     auto const text = to_string(order.run.task);
     this->started.insert(order.run.task.job);
+    this->started_at.emplace(order.run.task.job, this->time.now);
     if (this->refused.contains(order.run.task.job)) {
         this->violations.push_back(text + " starts and was refused");
     }
@@ -451,11 +503,14 @@
     if (!used.fits_in(worker.capacity)) {
         this->violations.push_back(worker.id + " is over its capacity");
     }
+    auto const work = this->works.find(order.run.task.job);
     worker.runs[order.run.task] = {
         .name = order.run,
-        .done_at =
-            this->time.now +
-            base::milliseconds(200 + base::uniform_below(this->random, 6000)),
+        .done_at = this->time.now +
+                   (work != this->works.end()
+                        ? work->second
+                        : base::milliseconds(
+                              200 + base::uniform_below(this->random, 6000))),
         .need = need};
     return order_status::done;
 }
--- a/libs/jobs/tests/simulated_world.hpp
+++ b/libs/jobs/tests/simulated_world.hpp
@@ -69,6 +69,36 @@
 {
     std::size_t workers = 4;
     std::string prefix = "w"; ///< of identifiers
+    resources capacity{.processors = 4000, .memory_mb = 1000}; ///< of each
+    /// Workers hold a look back until they have an end to list, as long as the
+    /// look allows; otherwise each answers after 100 ms.
+    bool holds_looks = false;
+    /// Time of an entry host's only thread for a call and its answer, or for a
+    /// request of a peer, in microseconds.
+    std::int64_t message_us = 0;
+};
+
+/// The only thread of an entry host: takes up messages and timers one after the
+/// other, in the order of their arrival.
+class simulated_processor
+{
+public:
+    /// Work that arrives now is done at the returned time.
+    base::instant take_up(base::instant now, std::int64_t work_us);
+    /// When it is free.
+    [[nodiscard]] base::instant free_at(base::instant now) const;
+
+private:
+    std::int64_t busy_until_us = 0;
+};
+
+/// Jobs of one step.
+struct simulated_job
+{
+    std::string id{};
+    std::uint32_t tasks = 1;
+    resources need{};      ///< of a task
+    base::duration work{}; ///< of a task; 0: random
 };
 
 struct simulated_worker
@@ -155,10 +185,25 @@
     friend class simulated_world;
 
     /// Runs `callback` later, unless this process has ended by then.
+    void later(base::duration delay, std::function<void()> callback);
+    /// The same for an answer that is sent now.
     void reply(std::function<void()> const& callback);
+    /// Runs `callback` once the processor has taken up a message that arrives
+    /// now.
+    void receive(std::function<void()> const& callback);
+    /// When a message that is sent now arrives.
+    base::instant arrival();
+    /// Half of it for each direction.
+    [[nodiscard]] std::int64_t one_way_us() const;
+    void answer_look(
+        look_order const& order,
+        base::instant asked_at,
+        std::function<void(order_status, worker_report const&)> const&
+            callback);
 
     simulated_world& world;
     std::string host;
+    simulated_processor processor{};
 };
 
 struct simulated_host : simulated_ports
@@ -175,7 +220,7 @@
         std::uint32_t seed,
         fault_rates rates,
         leader_options leading = {},
-        simulated_fleet const& fleet = {});
+        simulated_fleet wanted_fleet = {});
     ~simulated_world();
 
     void start_host(std::size_t index);
@@ -185,6 +230,7 @@
         std::string const& id,
         std::uint32_t tasks,
         std::size_t payload_bytes = 0);
+    void submit(std::size_t host, simulated_job const& wanted);
     void run_for(base::duration span);
     /// All hosts learn of a configuration that gives the queue this name.
     void rename_queue(std::string const& name);
@@ -215,6 +261,8 @@
     std::set<std::string> accepted{};
     std::set<std::string> refused{};  ///< told that the job never runs
     std::size_t unknown_outcomes = 0; ///< of submissions
+    std::map<std::string, base::instant> submitted_at{};
+    std::map<std::string, base::instant> started_at{}; ///< the first task
     base::duration longest_refusal{}; ///< until a caller was told
     std::map<std::string, base::instant> cancelled{}; ///< when confirmed
     /// What changed outside the hosts: rows, runs started and stopped, ends
@@ -253,6 +301,8 @@
     void note_repeated(task_name const& task);
     void acknowledge(simulated_worker const& worker, std::int64_t number);
     static worker_info entry_of(simulated_worker const& worker);
+    static worker_report
+    report_of(simulated_worker const& worker, std::int64_t now_ms);
     void update(simulated_worker& worker);
     order_status start(simulated_worker& worker, start_order const& order);
     simulated_worker* reach(std::string const& id);
@@ -262,13 +312,17 @@
     /// Calls this with each host that is up, some time later.
     void tell_hosts(std::function<void(simulated_host&)> const& tell);
 
+    void submit_job(std::size_t host, job_spec const& job);
+
+    simulated_fleet fleet;
     std::set<std::string> started{}; ///< jobs
     std::set<task_name> noted{};     ///< done, and acknowledged by a leader
     /// Done by a listed end of a worker, and started again; it must not be
     /// acknowledged any more.
     std::set<std::pair<std::string, std::int64_t>> repeated{};
     std::vector<std::unique_ptr<simulated_host>> ended_hosts{};
-    std::map<std::string, resources> needs{}; ///< of a task, by job
+    std::map<std::string, resources> needs{};      ///< of a task, by job
+    std::map<std::string, base::duration> works{}; ///< the same; not random
 };
 
 } // namespace foxtaillift::jobs::testing
