Bound the looks at workers whose answers are overdue

While answers are late, each worker with an overdue look or an unresolved start was asked again every 30 ms: up to 5,400 looks a second, whose reports keep the leader too busy to read the answers that it waits for (decisions fell to 12 a second, relays or not). A leader sends 1,000 such looks a second at most, and goes round.

--- a/libs/jobs/src/scheduler_answers.cpp
+++ b/libs/jobs/src/scheduler_answers.cpp
@@ -4,6 +4,7 @@
 #include "scheduler_core.hpp"
 
 #include <algorithm>
+#include <cstdint>
 
 namespace foxtaillift::jobs
 {
@@ -15,6 +16,11 @@
 /// out is answered in between.
 constexpr base::duration extra_look_gap = base::milliseconds(30);
 
+/// Such looks in all. The reports of a large fleet would take the processor
+/// time that its answers need, so that more of them seem to be lost.
+constexpr std::int64_t extra_looks_per_second = 1000;
+constexpr base::duration extra_looks_saved_up = base::milliseconds(100);
+
 /// An order without an answer may be carried out up to this much later; the
 /// platform speaks of seconds.
 constexpr base::duration latest_execution = base::seconds(12);
@@ -108,15 +114,30 @@
     return now < this->answers_lost_until;
 }
 
-void scheduler::implementation::add_extra_look(
+void scheduler::implementation::allow_extra_looks(base::instant now)
+{
+    constexpr std::int64_t ms_per_second = 1000;
+    // The time for which looks are allowed is not used up.
+    this->extra_looks_since =
+        std::max(this->extra_looks_since, now - extra_looks_saved_up);
+    auto const saved = (now - this->extra_looks_since).ms;
+    this->extra_looks_left = saved * extra_looks_per_second / ms_per_second;
+}
+
+bool scheduler::implementation::add_extra_look(
     std::vector<worker_order>& orders, worker_entry& worker, base::instant now)
 {
     bool const is_wanted =
         !worker.unresolved.empty() || now >= worker.look_overdue_at;
     if (!is_wanted || worker.is_extra_look_out || worker.silent_looks > 0 ||
-        now - worker.extra_look_at < extra_look_gap) {
-        return;
+        now - worker.extra_look_at < extra_look_gap ||
+        this->extra_looks_left <= 0) {
+        return false;
     }
+    constexpr base::duration span_of_look =
+        base::milliseconds(1000 / extra_looks_per_second);
+    --this->extra_looks_left;
+    this->extra_looks_since = this->extra_looks_since + span_of_look;
     worker.is_extra_look_out = true;
     worker.extra_look_at = now;
     // It acknowledges nothing: another life of the worker may answer.
@@ -125,6 +146,7 @@
         .address = worker.info.address,
         .token = this->options.token,
         .is_extra = true});
+    return true;
 }
 
 } // namespace foxtaillift::jobs
--- a/libs/jobs/src/scheduler_core.hpp
+++ b/libs/jobs/src/scheduler_core.hpp
@@ -304,7 +304,10 @@
     stop_table stops;                  ///< wanted, not yet over
     std::deque<awaited_order> awaited; ///< oldest first
     answer_time answers;               ///< of starts and paces
-    base::instant answer_lost_at{-1'000'000};     ///< the last one
+    base::instant extra_looks_since{-1'000'000}; ///< their time is left
+    std::int64_t extra_looks_left = 0;           ///< in the current run
+    std::size_t first_looked = 0;             ///< worker that is regarded first
+    base::instant answer_lost_at{-1'000'000}; ///< the last one
     base::instant answers_lost_until{-1'000'000}; ///< more are to be expected
     std::map<std::string, std::vector<orphan_run>> orphans; ///< by job
     std::vector<std::string> dirty;
@@ -396,7 +399,10 @@
     void note_unanswered(
         std::size_t worker, base::instant sent_at, base::instant now);
     [[nodiscard]] bool are_answers_lost(base::instant now) const;
-    void add_extra_look(
+    /// Call before the looks of a run of the decisions are added.
+    void allow_extra_looks(base::instant now);
+    /// Returns whether one was due.
+    bool add_extra_look(
         std::vector<worker_order>& orders,
         worker_entry& worker,
         base::instant now);
--- a/libs/jobs/src/scheduler_orders.cpp
+++ b/libs/jobs/src/scheduler_orders.cpp
@@ -305,10 +305,17 @@
         is_unresolved[key.first] = 1;
     }
     bool const is_lossy = this->are_answers_lost(now);
-    for (std::size_t i = 0; i < this->workers.size(); ++i) {
+    this->allow_extra_looks(now);
+    auto const count = this->workers.size();
+    auto const first = this->first_looked;
+    for (std::size_t k = 0; k < count; ++k) {
+        auto const i = (first + k) % count;
         auto& worker = this->workers[i];
         if (worker.is_look_out) {
-            this->add_extra_look(orders, worker, now);
+            if (this->add_extra_look(orders, worker, now)) {
+                // Where they are used up, the others come first next time.
+                this->first_looked = (i + 1) % count;
+            }
             continue;
         }
         if (now < worker.look_due) {
--- a/libs/jobs/tests/lost_answer_test.cpp
+++ b/libs/jobs/tests/lost_answer_test.cpp
@@ -5,6 +5,9 @@
 
 #include <doctest/doctest.h>
 
+#include <map>
+#include <string>
+
 namespace base = foxtaillift::base;
 using namespace foxtaillift::jobs;
 using foxtaillift::jobs::testing::scheduler_fixture;
@@ -200,6 +203,41 @@
     CHECK(look_wait() >= base::milliseconds(workers / 2));
 }
 
+// The pattern: all answers of a fleet of 1,100 are late at once, as after a
+// takeover under load (trouble-1 of the large Rezni Oblak). Guards against
+// looks that keep the leader too busy to read the answers that it asks for
+// again.
+TEST_CASE("looks at workers with overdue answers are bounded, and go round")
+{
+    scheduler_fixture test;
+    constexpr int workers = 1100;
+    std::map<std::string, int> asked;
+    for (int i = 0; i < workers; ++i) {
+        test.list("w" + std::to_string(i));
+    }
+    for (auto const& look : test.take<look_order>()) {
+        test.answer(look.worker, test.report());
+    }
+    test.take<look_order>();
+    test.wait(3000);
+    constexpr int runs = 300; // 3 s
+    int count = 0;
+    for (int i = 0; i < runs; ++i) {
+        for (auto const& look : test.take<look_order>()) {
+            CHECK(look.is_extra);
+            ++count;
+            ++asked[look.worker];
+            test.decisions.on_look(
+                look.worker, order_status::unknown, {}, test.now, test.now,
+                true);
+        }
+        test.wait(10);
+    }
+    CHECK(count >= 2900);
+    CHECK(count <= 3100);
+    CHECK(asked.size() == workers);
+}
+
 // The pattern: a host of a tenth of a core that leads while hundreds of filling
 // tasks wait (hunt-16cc-27 of Rezni Oblak: answers were read after 100 ms and
 // more). Guards against looks that ask again for what is only read late, which
