--- a/libs/jobs/include/foxtaillift/jobs/order_relays.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/order_relays.hpp
@@ -98,11 +98,11 @@
 
     /// Has the order carried out. The callback comes once.
     template <class Order>
-    void send(Order const& order, answer_callback callback)
+    void send(Order const& order, answer_callback const& callback)
     {
         auto* const link = this->link_of(order.worker);
         if (link == nullptr) {
-            this->send_directly(order, std::move(callback));
+            this->send_directly(order, callback);
             return;
         }
         auto const number = ++this->last_number;
@@ -111,7 +111,7 @@
             number, order_entry{
                         .order = order,
                         .sent_at = this->time_awake(),
-                        .callback = std::move(callback)});
+                        .callback = callback});
         this->exchange_soon();
     }
 
@@ -173,28 +173,27 @@
         };
     }
 
-    void send_directly(look_order const& order, answer_callback callback)
+    void send_directly(look_order const& order, answer_callback const& callback)
     {
-        this->ports.look(order, std::move(callback));
+        this->ports.look(order, callback);
     }
-    void send_directly(start_order const& order, answer_callback callback)
+    void
+    send_directly(start_order const& order, answer_callback const& callback)
     {
-        this->ports.start(order, without_report(std::move(callback)));
+        this->ports.start(order, without_report(callback));
     }
-    void send_directly(stop_order const& order, answer_callback callback)
+    void send_directly(stop_order const& order, answer_callback const& callback)
     {
-        this->ports.stop(order, without_report(std::move(callback)));
+        this->ports.stop(order, without_report(callback));
     }
-    void send_directly(pace_order const& order, answer_callback callback)
+    void send_directly(pace_order const& order, answer_callback const& callback)
     {
-        this->ports.pace(order, without_report(std::move(callback)));
+        this->ports.pace(order, without_report(callback));
     }
 
-    static auto without_report(answer_callback callback)
+    static auto without_report(answer_callback const& callback)
     {
-        return [callback = std::move(callback)](order_status status) {
-            callback(status, {});
-        };
+        return [callback](order_status status) { callback(status, {}); };
     }
 
     /// Null if the worker is called directly.
