Log how long a task has been without a run, and the room of usable and barred workers

The hypotheses on LOST could not be told apart: task_waits counted barred workers as unusable, beside those that have left, and neither it nor fleet_load told how long a task had no run or where the largest room was.

--- a/libs/jobs/include/foxtaillift/jobs/leader.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/leader.hpp
@@ -343,6 +343,9 @@
             base::event_line{"fleet_load"}
                 .add("workers", load.workers)
                 .add("usable", load.usable_workers)
+                .add("barred", load.barred_workers)
+                .add("lasting_waiting", load.lasting_waiting)
+                .add("longest_lasting_wait_ms", load.longest_lasting_wait)
                 .add("processors", load.capacity.processors)
                 .add("used", load.used.processors)
                 .add("serving", load.serving_processors)
--- a/libs/jobs/include/foxtaillift/jobs/scheduler.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/scheduler.hpp
@@ -68,9 +68,12 @@
 /// Room and work of the fleet at a moment, for logs and metrics.
 struct fleet_load
 {
-    std::size_t workers = 0;             ///< known
-    std::size_t usable_workers = 0;      ///< get new tasks
-    resources capacity{};                ///< of the usable ones
+    std::size_t workers = 0;               ///< known
+    std::size_t usable_workers = 0;        ///< get new tasks
+    std::size_t barred_workers = 0;        ///< left out since runs failed there
+    std::size_t lasting_waiting = 0;       ///< lasting tasks without a run
+    base::duration longest_lasting_wait{}; ///< of these
+    resources capacity{};                  ///< of the usable ones
     resources used{};                    ///< there; without filling processors
     std::int64_t serving_processors = 0; ///< reserved by serving tasks
     std::int64_t filling_processors = 0; ///< asked for by filling tasks
--- a/libs/jobs/src/job_table.hpp
+++ b/libs/jobs/src/job_table.hpp
@@ -75,6 +75,8 @@
     base::instant not_before{};
     base::instant idle_since{}; ///< when its last run was closed
     run_release released_by = run_release::none; ///< its last run
+    /// When a report last spoke for the presence of its last run.
+    base::instant last_present{};
     std::optional<std::size_t> avoided_worker{}; ///< where it failed last
     std::vector<run_entry> runs{};
 };
--- a/libs/jobs/src/scheduler.cpp
+++ b/libs/jobs/src/scheduler.cpp
@@ -291,6 +291,7 @@
             continue;
         }
         ++result.workers;
+        result.barred_workers += now < worker.barred_until ? 1 : 0;
         if (!implementation::is_usable(worker, now)) {
             continue;
         }
@@ -321,6 +322,7 @@
         ++queue.jobs;
         queue.running_tasks += job->open_runs;
         queue.waiting_tasks += job->waiting_tasks();
+        this->impl->add_lasting_waits(result, *job, now);
     }
     return result;
 }
--- a/libs/jobs/src/scheduler_core.hpp
+++ b/libs/jobs/src/scheduler_core.hpp
@@ -260,6 +260,9 @@
     /// Takes over the runs of a job that were reported before its row.
     void adopt_orphans(job_entry& job, base::instant now);
     [[nodiscard]] occupancy occupancy_of(step const& step);
+    /// Adds the job's lasting tasks that have no run.
+    static void add_lasting_waits(
+        fleet_load& load, job_entry const& job, base::instant now);
     void log(base::event_line const& line) const;
     /// By the configuration, or by the job's own terms if that does not name
     /// its queue; null if neither is known.
@@ -515,6 +518,15 @@
         base::instant now);
     /// False if a task that needs no more of anything found no worker.
     [[nodiscard]] bool is_placeable(unplaceable const& wanted) const;
+    /// Since when the task has had no run, as far as this leader knows.
+    [[nodiscard]] static base::instant
+    waiting_since(job_entry const& job, std::size_t ordinal);
+    /// Adds the room of the service's workers that are usable, and of those
+    /// that are barred.
+    void add_room(
+        base::event_line& line,
+        std::string_view service,
+        base::instant now) const;
     /// Says why a task got no worker, for a bounded number of jobs.
     void log_wait(
         job_entry& job,
--- a/libs/jobs/src/scheduler_jobs.cpp
+++ b/libs/jobs/src/scheduler_jobs.cpp
@@ -336,6 +336,11 @@
     auto const name = job.name_of(ordinal);
     task.runs.erase(found);
     task.released_by = reason;
+    if (reason != run_release::not_started) {
+        // Under a lease that is over, it may have ended just after that report.
+        task.last_present =
+            std::max(task.last_present, this->workers[worker].heard_at);
+    }
     this->workers[worker].release({name, attempt});
     this->stops.erase({worker, {name, attempt}});
     --job.open_runs;
--- a/libs/jobs/src/scheduler_placing.cpp
+++ b/libs/jobs/src/scheduler_placing.cpp
@@ -367,16 +367,71 @@
     --this->wait_lines_left;
     job.wait_logged_at = now;
     auto const count = [&](obstacle why) { return obstacles.of(why); };
-    this->log(base::event_line{"task_waits"}
-                  .add("task", to_string(task))
-                  .add("waited_ms", now - job.seen_at)
-                  .add("unusable", count(obstacle::unusable))
-                  .add("not_allowed", count(obstacle::not_allowed))
-                  .add("no_ticket", count(obstacle::no_ticket))
-                  .add("no_processors", count(obstacle::processors))
-                  .add("no_memory", count(obstacle::memory))
-                  .add("no_accelerators", count(obstacle::accelerators))
-                  .add("too_slow", count(obstacle::speed)));
+    base::event_line line{"task_waits"};
+    line.add("task", to_string(task))
+        .add("waited_ms", now - job.seen_at)
+        .add("idle_ms", now - waiting_since(job, *job.ordinal(task)))
+        .add("processors", job.spec.steps[task.step].need.processors)
+        .add("unusable", count(obstacle::unusable))
+        .add("not_allowed", count(obstacle::not_allowed))
+        .add("no_ticket", count(obstacle::no_ticket))
+        .add("no_processors", count(obstacle::processors))
+        .add("no_memory", count(obstacle::memory))
+        .add("no_accelerators", count(obstacle::accelerators))
+        .add("too_slow", count(obstacle::speed));
+    this->add_room(line, this->queue_of(job)->service, now);
+    this->log(line);
+}
+
+base::instant scheduler::implementation::waiting_since(
+    job_entry const& job, std::size_t ordinal)
+{
+    auto const slot = job.step_slot(job.name_of(ordinal));
+    return std::max(job.tasks[ordinal].last_present, job.steps[slot].ready_at);
+}
+
+void scheduler::implementation::add_lasting_waits(
+    fleet_load& load, job_entry const& job, base::instant now)
+{
+    if (job.idle == 0) {
+        return;
+    }
+    for (std::size_t i = 0; i < job.tasks.size(); ++i) {
+        auto const name = job.name_of(i);
+        bool const waits = job.spec.steps[name.step].is_lasting &&
+                           job.tasks[i].runs.empty() &&
+                           job.steps[job.step_slot(name)].ready_at.ms > 0;
+        if (waits) {
+            ++load.lasting_waiting;
+            load.longest_lasting_wait = std::max(
+                load.longest_lasting_wait, now - waiting_since(job, i));
+        }
+    }
+}
+
+void scheduler::implementation::add_room(
+    base::event_line& line, std::string_view service, base::instant now) const
+{
+    std::int64_t largest = 0;
+    std::int64_t largest_barred = 0;
+    std::size_t barred = 0;
+    for (std::size_t i = 0; i < this->workers.size(); ++i) {
+        auto const& worker = this->workers[i];
+        if (worker.info.service != service || !worker.is_listed) {
+            continue;
+        }
+        auto const room =
+            worker.info.capacity.processors - worker.used.processors;
+        if (is_usable(worker, now)) {
+            largest = std::max(largest, room);
+        } else if (now < worker.barred_until) {
+            ++barred;
+            largest_barred = std::max(largest_barred, room);
+        }
+    }
+    line.add("largest_room", largest)
+        .add("barred", barred)
+        .add("largest_barred_room", largest_barred);
 }
 
 void scheduler::implementation::set_first_pace(
