--- a/libs/jobs/tests/simulated_ports.cpp
+++ b/libs/jobs/tests/simulated_ports.cpp
@@ -418,7 +418,7 @@
     this->later(one_way, [this] {
         for (auto const& worker : this->world.workers) {
             if (worker.is_listed) {
-                this->on_worker(simulated_world::entry_of(worker));
+                this->on_worker(this->world.entry_of(worker));
             }
         }
     });
--- a/libs/jobs/tests/simulated_world.cpp
+++ b/libs/jobs/tests/simulated_world.cpp
@@ -40,6 +40,15 @@
 namespace
 {
 
+// The rule on lasting tasks, as the users' page gives it.
+constexpr base::duration idle_allowed = base::milliseconds(6000);
+constexpr base::duration room_allowed = base::milliseconds(3000);
+constexpr std::int64_t ample_room = 2; // tasks
+
+/// Of serving tasks, far below their target.
+constexpr std::int64_t usual_tail_ms = 10;
+constexpr std::int64_t tail_target_ms = 100;
+
 /// Limits of the platform's store.
 bool is_too_large(row_change const& change)
 {
@@ -96,7 +105,7 @@
     return {.status = store_status::done, .version = this->version};
 }
 
-worker_info simulated_world::entry_of(simulated_worker const& worker)
+worker_info simulated_world::entry_of(simulated_worker const& worker) const
 {
     return {
         .id = worker.id,
@@ -104,7 +113,8 @@
         .service = "s",
         .failure_domain = "z",
         .capacity = worker.capacity,
-        .is_draining = worker.is_draining};
+        .is_draining = worker.is_draining,
+        .remaining = std::max(worker.leaves_at - this->time.now, {})};
 }
 
 worker_report
@@ -113,8 +123,12 @@
     worker_report report{.clock_ms = now_ms, .born_ms = worker.born};
     report.ended = worker.ends;
     for (auto const& [task, run] : worker.runs) {
+        constexpr int at_work = 100;
         report.running.push_back(
-            {.run = run.name, .percent = static_cast<int>(now_ms / 50 % 100)});
+            {.run = run.name,
+             .percent =
+                 run.is_lasting ? at_work : static_cast<int>(now_ms / 50 % 100),
+             .recent = run.is_lasting ? usual_tail_ms : 0});
     }
     return report;
 }
@@ -141,6 +155,113 @@
     });
 }
 
+void simulated_world::take_away(std::size_t worker, base::duration notice)
+{
+    this->workers[worker].leaves_at = this->time.now + notice;
+    this->set_draining(worker, true);
+    this->time.at(this->time.now + notice, [this, worker] {
+        this->restart_worker(worker);
+        this->workers[worker].is_reachable = false;
+        this->set_listed(worker, false);
+    });
+}
+
+void simulated_world::fail_until(std::size_t worker, base::instant end)
+{
+    this->workers[worker].is_failing = true;
+    this->time.at(
+        end, [this, worker] { this->workers[worker].is_failing = false; });
+}
+
+bool simulated_world::is_running(task_name const& task) const
+{
+    return std::any_of(
+        this->workers.begin(), this->workers.end(),
+        [&](simulated_worker const& worker) {
+            return worker.runs.contains(task);
+        });
+}
+
+resources simulated_world::room_of(simulated_worker const& worker)
+{
+    auto room = worker.capacity;
+    for (auto const& [task, run] : worker.runs) {
+        room -= run.need;
+    }
+    return room;
+}
+
+std::int64_t simulated_world::room_for(resources const& need) const
+{
+    std::int64_t count = 0;
+    for (auto const& worker : this->workers) {
+        if (!worker.is_listed || worker.is_draining || !worker.is_reachable) {
+            continue;
+        }
+        count += room_of(worker).processors / need.processors;
+    }
+    return count;
+}
+
+void simulated_world::watch_lasting_tasks(base::instant wanted)
+{
+    constexpr base::duration interval = base::milliseconds(50);
+    this->calm_from = wanted;
+    this->check_lasting_tasks();
+    this->time.at(this->time.now + interval, [this, wanted] {
+        this->watch_lasting_tasks(wanted);
+    });
+}
+
+void simulated_world::check_lasting_tasks()
+{
+    auto const now = this->time.now;
+    for (auto const& [job, count] : this->lasting) {
+        if (!this->accepted.contains(job) || this->cancelled.contains(job)) {
+            continue;
+        }
+        bool const is_ample = this->room_for(this->needs.at(job)) >= ample_room;
+        for (std::uint32_t i = 0; i < count; ++i) {
+            task_name const task{.job = job, .index = i};
+            if (this->is_running(task)) {
+                this->waiting.erase(task);
+                continue;
+            }
+            auto& waits =
+                this->waiting.emplace(task, waiting_task_check{now, now})
+                    .first->second;
+            if (!is_ample || now < *this->calm_from ||
+                now - waits.idle_since < idle_allowed) {
+                waits.room_since = now;
+            }
+            if (now - waits.room_since >= room_allowed) {
+                this->violations.push_back(
+                    to_string(task) + " waits with room for it");
+                waits.room_since = now;
+            }
+        }
+    }
+}
+
+void simulated_world::check_room_taken(
+    simulated_worker const& worker, task_name const& task)
+{
+    auto const now = this->time.now;
+    if (!this->calm_from || now < *this->calm_from ||
+        this->lasting.contains(task.job)) {
+        return;
+    }
+    auto const room = room_of(worker);
+    for (auto const& [each, waits] : this->waiting) {
+        if (now - waits.idle_since >= idle_allowed + room_allowed &&
+            this->needs.at(each.job).fits_in(room)) {
+            this->violations.push_back(
+                to_string(task) + " takes the room of " + to_string(each));
+            return;
+        }
+    }
+}
+
 void simulated_world::set_listed(std::size_t worker, bool is_listed)
 {
     this->workers[worker].is_listed = is_listed;
@@ -185,6 +306,8 @@
             {.id = this->fleet.prefix + std::to_string(i),
              .capacity = this->fleet.capacity});
     }
+    this->configuration.routes.front().target.target_latency =
+        this->fleet.target_latency;
     this->hosts.resize(this->fleet.hosts);
     for (std::size_t i = 0; i < this->fleet.hosts; ++i) {
         this->start_host(i);
@@ -341,8 +464,15 @@
         .id = wanted.id,
         .queue = this->configuration.routes.front().target.name};
     job.steps.push_back(
-        {.count = wanted.tasks, .need = wanted.need, .estimate = wanted.work});
-    if (wanted.work.ms > 0) {
+        {.count = wanted.tasks,
+         .need = wanted.need,
+         .estimate = wanted.work,
+         .is_lasting = wanted.is_lasting,
+         .image = wanted.is_lasting ? "serving" : "",
+         .tail_target_ms = wanted.is_lasting ? tail_target_ms : 0});
+    if (wanted.is_lasting) {
+        this->lasting[wanted.id] = wanted.tasks;
+    } else if (wanted.work.ms > 0) {
         this->works[wanted.id] = wanted.work;
     }
     this->submit_job(host, job);
@@ -437,7 +567,10 @@
         }
     }
     for (auto const& task : due) {
-        this->end_run(worker, task, run_outcome::done);
+        this->end_run(
+            worker, task,
+            worker.runs.at(task).is_failing ? run_outcome::failed
+                                            : run_outcome::done);
     }
     this->check_lapse(worker);
     this->time.at(this->time.now + base::milliseconds(10), [this, &worker] {
@@ -445,6 +578,20 @@
     });
 }
 
+base::duration
+simulated_world::work_of(simulated_worker const& worker, task_name const& task)
+{
+    constexpr base::duration until_failure = base::milliseconds(100);
+    constexpr base::duration for_good = base::seconds(1'000'000);
+    auto const work = this->works.find(task.job);
+    return worker.is_failing                  ? until_failure
+           : this->lasting.contains(task.job) ? for_good
+           : work != this->works.end()
+               ? work->second
+               : base::milliseconds(
+                     200 + base::uniform_below(this->random, 6000));
+}
+
 order_status
 simulated_world::start(simulated_worker& worker, start_order const& order)
 {
@@ -498,15 +645,13 @@
     if (!used.fits_in(worker.capacity)) {
         this->violations.push_back(worker.id + " is over its capacity");
     }
-    auto const work = this->works.find(order.run.task.job);
+    this->check_room_taken(worker, order.run.task);
     worker.runs[order.run.task] = {
         .name = order.run,
-        .done_at = this->time.now +
-                   (work != this->works.end()
-                        ? work->second
-                        : base::milliseconds(
-                              200 + base::uniform_below(this->random, 6000))),
-        .need = need};
+        .done_at = this->time.now + this->work_of(worker, order.run.task),
+        .need = need,
+        .is_failing = worker.is_failing,
+        .is_lasting = this->lasting.contains(order.run.task.job)};
     return order_status::done;
 }
 
--- a/libs/jobs/tests/simulated_world.hpp
+++ b/libs/jobs/tests/simulated_world.hpp
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <queue>
 #include <set>
 #include <string>
@@ -77,6 +78,7 @@
     /// Time of an entry host's only thread for a call and its answer, or for a
     /// request of a peer, in microseconds.
     std::int64_t message_us = 0;
+    base::duration target_latency{}; ///< of the queue; later jobs are late
 };
 
 /// The only thread of an entry host: takes up messages and timers one after the
@@ -98,8 +100,9 @@
 {
     std::string id{};
     std::uint32_t tasks = 1;
-    resources need{};      ///< of a task
-    base::duration work{}; ///< of a task; 0: random
+    resources need{};        ///< of a task
+    base::duration work{};   ///< of a task; 0: random
+    bool is_lasting = false; ///< each task serves until it is stopped
 };
 
 struct simulated_worker
@@ -109,6 +112,8 @@
         run_name name{};
         base::instant done_at{};
         resources need{};
+        bool is_failing = false; ///< ends as failed
+        bool is_lasting = false; ///< is at work from its start
     };
     static constexpr std::int64_t longest_lease_ms = 6000;
 
@@ -125,9 +130,18 @@
     /// start again.
     std::int64_t lapsed_ends = 0;
     bool is_reachable = true;
-    bool is_refusing = false; ///< connections, at once; what runs goes on
-    bool is_listed = true;    ///< by the platform
-    bool is_draining = false; ///< as the platform lists it
+    bool is_refusing = false;  ///< connections, at once; what runs goes on
+    bool is_listed = true;     ///< by the platform
+    bool is_draining = false;  ///< as the platform lists it
+    bool is_failing = false;   ///< fails all that it starts
+    base::instant leaves_at{}; ///< while it drains
+};
+
+/// A task without a run although its turn has come.
+struct waiting_task_check
+{
+    base::instant idle_since{};
+    base::instant room_since{}; ///< there has been room for two of it
 };
 
 class simulated_world;
@@ -239,6 +253,14 @@
     void cancel(std::size_t host, std::string const& id);
     /// Lists the worker so; each host learns of it some time later.
     void set_draining(std::size_t worker, bool is_draining);
+    /// Drains the worker, which leaves for good after the notice.
+    void take_away(std::size_t worker, base::duration notice);
+    /// Until then this worker fails all that it starts.
+    void fail_until(std::size_t worker, base::instant end);
+    /// A lasting task must not wait for 9 s, the last 3 s of them with room for
+    /// two of it and after `calm_from`; and once it has waited for 9 s, no
+    /// other task may start where it would fit. Call once.
+    void watch_lasting_tasks(base::instant calm_from);
     /// The platform drops the entry, or it is back; each host learns of it some
     /// time later.
     void set_listed(std::size_t worker, bool is_listed);
@@ -301,10 +323,12 @@
     /// Notes the ends that a start of the task makes invalid.
     void note_repeated(task_name const& task);
     void acknowledge(simulated_worker const& worker, std::int64_t number);
-    static worker_info entry_of(simulated_worker const& worker);
+    [[nodiscard]] worker_info entry_of(simulated_worker const& worker) const;
     static worker_report
     report_of(simulated_worker const& worker, std::int64_t now_ms);
     void update(simulated_worker& worker);
+    base::duration
+    work_of(simulated_worker const& worker, task_name const& task);
     order_status start(simulated_worker& worker, start_order const& order);
     simulated_worker* reach(std::string const& id);
     [[nodiscard]] std::int64_t born_of(std::string const& id) const;
@@ -314,6 +338,15 @@
     void tell_hosts(std::function<void(simulated_host&)> const& tell);
 
     void submit_job(std::size_t host, job_spec const& job);
+    void check_lasting_tasks();
+    /// The task starts on this worker now.
+    void
+    check_room_taken(simulated_worker const& worker, task_name const& task);
+    /// What runs there leaves free.
+    static resources room_of(simulated_worker const& worker);
+    [[nodiscard]] bool is_running(task_name const& task) const;
+    /// How many tasks of this need the fleet has room for.
+    [[nodiscard]] std::int64_t room_for(resources const& need) const;
 
     simulated_fleet fleet;
     std::set<std::string> started{}; ///< jobs
@@ -322,8 +355,11 @@
     /// acknowledged any more.
     std::set<std::pair<std::string, std::int64_t>> repeated{};
     std::vector<std::unique_ptr<simulated_host>> ended_hosts{};
-    std::map<std::string, resources> needs{};      ///< of a task, by job
-    std::map<std::string, base::duration> works{}; ///< the same; not random
+    std::map<std::string, resources> needs{};          ///< of a task, by job
+    std::map<std::string, base::duration> works{};     ///< the same; not random
+    std::map<std::string, std::uint32_t> lasting{};    ///< tasks, by job
+    std::map<task_name, waiting_task_check> waiting{}; ///< lasting ones
+    std::optional<base::instant> calm_from{}; ///< lasting tasks are watched
 };
 
 } // namespace foxtaillift::jobs::testing
