Bar workers by occasions of failure, and try them with a single run

Callers saw LOST: a lasting task without a run, with room for it on workers that were sound again. A report with eight ends counted as eight failures in a row, so that a fault of 6.5 s barred a worker for 24 s; then all of its room was filled at once, whether it was sound or not.

Now failures of runs that began before a bar belong to the occasion of that bar. After a bar (3 s, then 6 s) a worker gets one run at a time until one works, so a worker that fails for long costs one run in 6 s; it was one batch in up to 24 s. Evidence is failures of two jobs (a job that can never be done barred worker after worker), and no run of a lasting task that had been at work.

--- a/libs/jobs/src/placement.cpp
+++ b/libs/jobs/src/placement.cpp
@@ -154,8 +154,9 @@
 
 obstacle find_obstacle(worker_entry const& worker, placement_wish const& wish)
 {
-    return is_allowed(worker, wish) ? missing_room(worker, *wish.wanted)
-                                    : obstacle::not_allowed;
+    return worker.trust.is_trial_out() ? obstacle::unusable
+           : is_allowed(worker, wish)  ? missing_room(worker, *wish.wanted)
+                                       : obstacle::not_allowed;
 }
 
 placement_verdict judge_placement(
@@ -181,7 +182,7 @@
                versatility_cost * worker.versatility;
     }
     cost += own_run_cost * static_cast<double>(wish.own_runs);
-    cost += worker.failures_in_row > 0 ? doubt_cost : 0;
+    cost += worker.trust.is_doubtful() ? doubt_cost : 0;
     cost += wish.is_avoided ? avoided_cost : 0;
     cost += worker.is_slow ? slow_cost : 0;
     if (!wanted.preferred_rack.empty() &&
--- a/libs/jobs/src/scheduler.cpp
+++ b/libs/jobs/src/scheduler.cpp
@@ -291,7 +291,7 @@
             continue;
         }
         ++result.workers;
-        result.barred_workers += now < worker.barred_until ? 1 : 0;
+        result.barred_workers += worker.trust.is_barred(now) ? 1 : 0;
         if (!implementation::is_usable(worker, now)) {
             continue;
         }
--- a/libs/jobs/src/scheduler_core.hpp
+++ b/libs/jobs/src/scheduler_core.hpp
@@ -353,7 +353,13 @@
         job_entry& job,
         std::size_t ordinal,
         std::size_t worker,
-        std::uint32_t attempt,
+        std::uint32_t attempt);
+    /// A run of the task that began then failed there.
+    void doubt_worker(
+        std::size_t worker,
+        job_entry const& job,
+        std::size_t ordinal,
+        base::instant began_at,
         base::instant now);
     /// Ends the job if the task has failed as often as its queue allows.
     void end_if_exhausted(job_entry& job, std::size_t ordinal);
--- a/libs/jobs/src/scheduler_placing.cpp
+++ b/libs/jobs/src/scheduler_placing.cpp
@@ -424,7 +424,7 @@
             worker.info.capacity.processors - worker.used.processors;
         if (is_usable(worker, now)) {
             largest = std::max(largest, room);
-        } else if (now < worker.barred_until) {
+        } else if (worker.trust.is_barred(now)) {
             ++barred;
             largest_barred = std::max(largest_barred, room);
         }
@@ -468,6 +468,7 @@
     this->open_run(
         job, ordinal, {.worker = index, .attempt = attempt, .settled_at = now},
         now);
+    worker.trust.on_start({name, attempt});
     this->update_vacancy(index);
     if (wanted.is_filling) {
         this->set_first_pace(worker, {name, attempt});
--- a/libs/jobs/src/scheduler_reports.cpp
+++ b/libs/jobs/src/scheduler_reports.cpp
@@ -11,11 +11,9 @@
 /// Most ends that one report can hold; with as many, more may follow.
 constexpr std::size_t ends_in_report = 500;
 
-/// A worker that failed this many runs in a row is left out for a while; with
-/// 5% of tasks failing by their own fault, a sound worker does so once in 400.
-constexpr int failures_until_barred = 2;
-constexpr base::duration barred_time = base::seconds(3);
-constexpr int longest_barred_shift = 3; // 24 s
+/// A run that works for this long works as it should: a worker that fails what
+/// it starts does so within 0.2 s.
+constexpr base::duration sound_after = base::milliseconds(1000);
 
 /// A task that worked for this long without progress is started elsewhere.
 /// Percents of the longest tasks (24 s) change every 0.24 s.
@@ -278,6 +276,9 @@
     auto& worker = this->workers[index];
     auto const place = this->find_task(end.run.task);
     auto const* const run = this->find_run(index, end.run);
+    auto const began_at = run ? run->started_at : base::instant{};
+    // A lasting task that was at work may fail by itself at any time.
+    bool const was_serving = run != nullptr && run->percent >= at_work;
     this->log(
         base::event_line{"run_ended"}
             .add("task", to_string(end.run.task))
@@ -303,12 +304,38 @@
     }
     bool const is_lasting = place.job->spec.steps[end.run.task.step].is_lasting;
     if (end.outcome == run_outcome::done) {
-        worker.failures_in_row = 0;
+        worker.trust.on_success(began_at);
         if (!is_lasting) {
             this->on_done(*place.job, place.ordinal, end.run);
         }
     } else if (end.outcome == run_outcome::failed) {
-        this->on_failed(*place.job, place.ordinal, index, end.run.attempt, now);
+        if (!is_lasting || !was_serving) {
+            this->doubt_worker(index, *place.job, place.ordinal, began_at, now);
+        }
+        this->on_failed(*place.job, place.ordinal, index, end.run.attempt);
+    }
+}
+
+void scheduler::implementation::doubt_worker(
+    std::size_t index,
+    job_entry const& job,
+    std::size_t ordinal,
+    base::instant began_at,
+    base::instant now)
+{
+    // A task that failed before is more likely at fault than its workers: some
+    // jobs can never be done.
+    if (!job.tasks[ordinal].failed_attempts.empty()) {
+        return;
+    }
+    auto& worker = this->workers[index];
+    auto const barred = worker.trust.on_failure(job.spec.id, began_at, now);
+    if (barred) {
+        this->log(base::event_line{"worker_barred"}
+                      .add("worker", worker.info.id)
+                      .add("reason", "runs fail")
+                      .add("task", to_string(job.name_of(ordinal)))
+                      .add("for_ms", *barred));
     }
 }
 
@@ -353,25 +380,9 @@
     job_entry& job,
     std::size_t ordinal,
     std::size_t index,
-    std::uint32_t attempt,
-    base::instant now)
+    std::uint32_t attempt)
 {
-    auto& worker = this->workers[index];
     auto& task = job.tasks[ordinal];
-    // A task that failed before is more likely at fault than its workers: some
-    // jobs can never be done.
-    bool const is_counted = task.failed_attempts.empty();
-    worker.failures_in_row += is_counted ? 1 : 0;
-    if (is_counted && worker.failures_in_row >= failures_until_barred) {
-        auto const shift = std::min(
-            worker.failures_in_row - failures_until_barred,
-            longest_barred_shift);
-        worker.barred_until = now + barred_time * (1 << shift);
-        this->log(base::event_line{"worker_barred"}
-                      .add("worker", worker.info.id)
-                      .add("failures_in_row", worker.failures_in_row)
-                      .add("for_ms", worker.barred_until - now));
-    }
     task.avoided_worker = index;
     auto const name = job.name_of(ordinal);
     if (job.spec.steps[name.step].is_lasting || task.is_done) {
@@ -429,6 +440,10 @@
     if (!reported.checkpoint.empty()) {
         job.tasks[taken.ordinal].checkpoint = reported.checkpoint;
     }
+    bool const has_progressed = run->progressed_at > run->started_at;
+    if (has_progressed && now - run->started_at >= sound_after) {
+        worker.trust.on_progress(reported.run, run->started_at);
+    }
     this->check_progress(index, reported.run, taken, now);
     return &taken;
 }
@@ -562,7 +577,13 @@
                   .add("worker", worker.info.id)
                   .add("percent", entry->percent)
                   .add("for_ms", now - entry->progressed_at));
-    worker.barred_until = std::max(worker.barred_until, now + barred_time);
+    if (auto const barred = worker.trust.on_stuck(entry->started_at, now)) {
+        this->log(base::event_line{"worker_barred"}
+                      .add("worker", worker.info.id)
+                      .add("reason", "a run is stuck")
+                      .add("task", to_string(run.task))
+                      .add("for_ms", *barred));
+    }
     job->tasks[taken.ordinal].avoided_worker = index;
     this->stop_run(index, run);
 }
--- a/libs/jobs/src/scheduler_search.cpp
+++ b/libs/jobs/src/scheduler_search.cpp
@@ -69,7 +69,8 @@
            !worker.info.is_draining &&
            (worker.is_listed || may_start_unlisted(worker, now)) &&
            worker.silent_looks == 0 && worker.unsized_runs == 0 &&
-           now >= worker.barred_until && now - worker.heard_at < fresh_report;
+           !worker.trust.is_barred(now) && !worker.trust.is_trial_out() &&
+           now - worker.heard_at < fresh_report;
 }
 
 double scheduler::implementation::lost_versatility(
--- a/libs/jobs/src/views.cpp
+++ b/libs/jobs/src/views.cpp
@@ -120,7 +120,7 @@
            : worker.silent_looks > 0                            ? "silent"
            : worker.info.is_draining                            ? "draining"
            : worker.is_closed                                   ? "closed"
-           : now < worker.barred_until                          ? "barred"
+           : worker.trust.is_barred(now)                        ? "barred"
            : worker.is_slow                                     ? "slow"
            : !scheduler::implementation::is_usable(worker, now) ? "unusable"
                                                                 : "usable";
--- a/libs/jobs/src/worker_table.cpp
+++ b/libs/jobs/src/worker_table.cpp
@@ -41,6 +41,7 @@
     auto const taken = found->second;
     this->runs.erase(found);
     this->paced.reset();
+    this->trust.on_over(run);
     this->histories.erase(run);
     this->exceeding_since.erase(run);
     this->unresolved.erase(run);
--- a/libs/jobs/src/worker_table.hpp
+++ b/libs/jobs/src/worker_table.hpp
@@ -1,6 +1,8 @@
 /// The workers that a leader knows, with what runs on each.
 #pragma once
 
+#include "worker_trust.hpp"
+
 #include "foxtaillift/base/clock.hpp"
 #include "foxtaillift/jobs/pacing.hpp"
 #include "foxtaillift/jobs/worker.hpp"
@@ -118,8 +120,7 @@
     /// each was listed first, by number.
     std::map<std::int64_t, base::instant> blocked{};
 
-    int failures_in_row = 0;
-    base::instant barred_until{};                    ///< nothing starts before
+    worker_trust trust{};
     std::map<run_name, serving_history> histories{}; ///< of serving runs
     /// Since when serving runs are over their target, by the reports.
     std::map<run_name, base::instant> exceeding_since{};
