Let a starving task take room that is kept for another

Kept room counts as capacity for every smaller task, so all starving tasks are tried before room is kept; and they go before queues of a higher priority, since the rule on them holds however full the service is.

--- a/libs/jobs/src/scheduler_placing.cpp
+++ b/libs/jobs/src/scheduler_placing.cpp
@@ -3,6 +3,7 @@
 #include "urgency.hpp"
 
 #include <algorithm>
+#include <span>
 #include <tuple>
 #include <utility>
 
@@ -65,8 +66,8 @@
     // Lasting tasks that have waited for long go first all the same.
     struct rank
     {
-        std::int64_t priority = 0;
         bool is_patient = true;
+        std::int64_t priority = 0;
         chance_of_worth chance = chance_of_worth::full;
         bool is_lasting = false;
         std::int64_t due_ms = 0;
@@ -97,8 +98,8 @@
                             : !is_worthless        ? chance_of_worth::late
                                                    : chance_of_worth::none;
         waiting.push_back(
-            {.priority = queue->priority,
-             .is_patient = !has_starving_task(*job, now),
+            {.is_patient = !has_starving_task(*job, now),
+             .priority = queue->priority,
              .chance = chance,
              .is_lasting = is_lasting,
              .due_ms = (job->seen_at + objective).ms,
@@ -107,10 +108,10 @@
     }
     std::sort(waiting.begin(), waiting.end(), [](rank const& a, rank const& b) {
         return std::tie(
-                   a.priority, a.is_patient, a.chance, a.is_lasting, a.due_ms,
+                   a.is_patient, a.priority, a.chance, a.is_lasting, a.due_ms,
                    *a.id) <
                std::tie(
-                   b.priority, b.is_patient, b.chance, b.is_lasting, b.due_ms,
+                   b.is_patient, b.priority, b.chance, b.is_lasting, b.due_ms,
                    *b.id);
     });
     std::erase_if(this->unplaced, [&](unplaceable const& failed) {
@@ -118,16 +119,25 @@
     });
     this->starts_left = starts_in_run;
     this->release_kept_room();
-    for (auto const& entry : waiting) {
-        auto& job = *entry.job;
-        if (job.idle > 0) {
-            this->place_job(job, orders, now, wall_ms);
-        }
-        if (!entry.is_patient) {
-            this->keep_room(job, now);
+    auto const place_each = [&](std::span<rank const> ranks) {
+        for (auto const& entry : ranks) {
+            if (entry.job->idle > 0) {
+                this->place_job(*entry.job, orders, now, wall_ms);
+            }
+            this->race_stragglers(*entry.job, orders, now);
         }
-        this->race_stragglers(job, orders, now);
+    };
+    std::span<rank const> const ranks{waiting};
+    auto const starving = static_cast<std::size_t>(
+        std::count_if(ranks.begin(), ranks.end(), [](rank const& each) {
+            return !each.is_patient;
+        }));
+    place_each(ranks.first(starving));
+    // Room that is kept for one starving task may go to another.
+    for (auto const& entry : ranks.first(starving)) {
+        this->keep_room(*entry.job, now);
     }
+    place_each(ranks.subspan(starving));
 }
 
 bool scheduler::implementation::is_placeable(unplaceable const& wanted) const
