Quarantine foxtaild's workers by occasions of failure as well

A quarantine takes 30 s now, and twice as long, up to 10 minutes, on each further occasion; failures of runs that began before a quarantine belong to its occasion, and a run that began after it and finishes ends the series.

decisions_test, 'a worker that failed for some seconds is soon used again', fails with 10 minutes from the first one on.

--- a/libs/batch/include/foxtaillift/batch/settings.hpp
+++ b/libs/batch/include/foxtaillift/batch/settings.hpp
@@ -101,6 +101,9 @@
     std::uint32_t max_failures = 10;          ///< of a task on any workers
     /// Wait after a failure; doubles with each further one up to 64 times.
     base::duration failure_delay = base::milliseconds(500);
+    /// Doubles with each occasion on which the worker fails again, up to
+    /// `quarantine`.
+    base::duration first_quarantine = base::seconds(30);
     base::duration quarantine = base::seconds(600);
 
     /// Bounds. At each of them input is refused with `too_many` or
--- a/libs/batch/src/cell_state.hpp
+++ b/libs/batch/src/cell_state.hpp
@@ -155,7 +155,9 @@
     void update_limits(worker_index index);
     void update_open(worker_index index);
     void retire_worker(worker_index index);
-    void count_failure(worker_index index, live_task& task);
+    /// A run of the task that began then has failed there.
+    void
+    count_failure(worker_index index, live_task& task, base::instant began_at);
     void exonerate(base::task_id const& task, worker_index except);
     [[nodiscard]] bool is_in_quarantine(worker const& worker) const;
     [[nodiscard]] char const* closed_reason(worker const& worker) const;
--- a/libs/batch/src/entities.hpp
+++ b/libs/batch/src/entities.hpp
@@ -169,9 +169,12 @@
     bool is_join_pending = false;
     bool is_leave_pending = false;
     bool is_draining = false;
-    bool is_quarantined = false; ///< by an operator
-    bool is_audited = false;     ///< under this epoch
+    bool is_quarantined = false;  ///< by an operator
+    bool is_audited = false;      ///< under this epoch
+    base::instant quarantined_at; ///< the last time, for failed tasks
     base::instant quarantined_until;
+    /// Quarantines since a run that began after the last one has finished.
+    std::uint32_t quarantines = 0;
     base::instant refused_until;
     worker_link link = worker_link::joining;
     std::uint64_t adopt_request = 0; ///< in flight
--- a/libs/batch/src/fleet.cpp
+++ b/libs/batch/src/fleet.cpp
@@ -183,6 +183,7 @@
         target.is_draining = false;
         target.is_quarantined = false;
         target.quarantined_until = {};
+        target.quarantines = 0;
         target.failures.clear();
         break;
     }
@@ -221,10 +222,14 @@
     own.unused_workers.push_back(index);
 }
 
-void cell_state::count_failure(worker_index index, live_task& task)
+void cell_state::count_failure(
+    worker_index index, live_task& task, base::instant began_at)
 {
     auto& own = this->owned;
     auto& target = own.workers[index];
+    if (target.quarantines > 0 && began_at <= target.quarantined_at) {
+        return; // a failure of the occasion that led to the quarantine
+    }
     // A task that failed elsewhere too says nothing about this worker.
     auto const& before = task.durable->failed_on;
     bool const has_failed_elsewhere =
@@ -248,12 +253,19 @@
         this->is_in_quarantine(target)) {
         return;
     }
-    target.quarantined_until = this->now + this->options.quarantine;
+    constexpr std::uint32_t most_doublings = 16;
+    auto const length = std::min(
+        this->options.quarantine,
+        this->options.first_quarantine *
+            (1LL << std::min(target.quarantines, most_doublings)));
+    ++target.quarantines;
+    target.quarantined_at = this->now;
+    target.quarantined_until = this->now + length;
     ++this->counters.quarantines;
     this->log(base::event_line{"worker_quarantined"}
                   .add("worker", target.id)
                   .add("failed", failures.size())
-                  .add("for", this->options.quarantine));
+                  .add("for", length));
     this->update_open(index);
 }
 
--- a/libs/batch/src/run_ends.cpp
+++ b/libs/batch/src/run_ends.cpp
@@ -54,10 +54,13 @@
     if (entry.state == run_state::finished) {
         ended.next = task_state::finished;
         on.failures.clear();
+        if (value.started > on.quarantined_at) {
+            on.quarantines = 0;
+        }
         this->run_times.add(value.task_class, this->now - value.started);
     } else if (entry.state == run_state::failed) {
         ended.is_failure = true;
-        this->count_failure(value.worker, task);
+        this->count_failure(value.worker, task, value.started);
         ++task.failures;
         auto const factor = std::min<std::uint32_t>(task.failures - 1, 6);
         task.not_before =
--- a/libs/batch/tests/decisions_test.cpp
+++ b/libs/batch/tests/decisions_test.cpp
@@ -70,6 +70,25 @@
     }
 }
 
+// Guards against a sound worker left out for 10 minutes: tasks that fail at the
+// same moment are one occasion.
+TEST_CASE("a worker that failed for some seconds is soon used again")
+{
+    ready_cell sim{2};
+    sim.workers[1].fails_everything = true;
+    for (int i = 0; i < 20; ++i) {
+        sim.submit(sim.make_task(2'000, 2'000));
+    }
+    sim.run_for(base::seconds(6));
+    REQUIRE(counters_of(sim.state()).quarantines >= 1);
+    CHECK_FALSE(find_worker(sim.state(), base::worker_id{"w1"})->takes_work);
+    sim.workers[1].fails_everything = false;
+    sim.run_for(base::seconds(35));
+    CHECK(find_worker(sim.state(), base::worker_id{"w1"})->takes_work);
+    CHECK(sim.run_until_idle(base::seconds(120)));
+    CHECK(sim.find_loss() == "");
+}
+
 TEST_CASE("the same key gives the same task, another payload is refused")
 {
     ready_cell sim{1};
