--- a/libs/batch/src/fleet.cpp
+++ b/libs/batch/src/fleet.cpp
@@ -227,9 +227,6 @@
 {
     auto& own = this->owned;
     auto& target = own.workers[index];
-    if (target.quarantines > 0 && began_at <= target.quarantined_at) {
-        return; // a failure of the occasion that led to the quarantine
-    }
     // A task that failed elsewhere too says nothing about this worker.
     auto const& before = task.durable->failed_on;
     bool const has_failed_elsewhere =
@@ -244,6 +241,9 @@
         this->exonerate(name, no_index);
         return;
     }
+    if (target.quarantines > 0 && began_at <= target.quarantined_at) {
+        return; // a failure of the occasion that led to the quarantine
+    }
     auto& failures = target.failures;
     if (std::find(failures.begin(), failures.end(), name) != failures.end()) {
         return;
@@ -282,6 +282,7 @@
             one.failures.size() < this->options.failures_to_quarantine;
         if (is_cleared) {
             one.quarantined_until = {};
+            one.quarantines -= one.quarantines > 0 ? 1 : 0;
             this->log(base::event_line{"worker_cleared"}
                           .add("worker", one.id)
                           .add("task", task)
--- a/libs/jobs/src/scheduler_core.hpp
+++ b/libs/jobs/src/scheduler_core.hpp
@@ -170,6 +170,11 @@
     bool is_start = false;
 };
 
+/// Counts the runs of a step by worker; `first` is the ordinal of its first
+/// task.
+std::map<std::size_t, std::size_t>
+runs_by_worker(job_entry const& job, std::size_t first, std::size_t count);
+
 class scheduler::implementation
 {
 public:
@@ -298,9 +303,11 @@
     /// By service; made at the start of each run, since a search looks at all
     /// of them and most have no room.
     std::map<std::string, std::vector<vacancy>, std::less<>> vacancies;
-    std::vector<std::size_t> kept{}; ///< workers that keep room
-    base::instant searched_at{};     ///< when the vacancies were found
-    std::size_t advice_calls = 0;    ///< that are out
+    std::vector<std::size_t> kept{};    ///< workers that keep room
+    std::size_t keep_searches_left = 0; ///< in the current run
+    bool is_placing_starving = false;   ///< other tasks are passed over
+    base::instant searched_at{};        ///< when the vacancies were found
+    std::size_t advice_calls = 0;       ///< that are out
     base::instant relocated_at{-1'000'000};
     std::size_t next_relocated = 0;    ///< worker that is regarded first
     std::size_t relocations_left = 0;  ///< searches in the current run
@@ -511,13 +518,19 @@
     /// tasks of this job wait for; until release_kept_room().
     void keep_room(job_entry& job, base::instant now);
     void release_kept_room();
-    /// The worker that is the first to have room for the task.
-    [[nodiscard]] std::optional<std::size_t> first_with_room(
-        step const& wanted, job_entry const& job, base::instant now) const;
+    /// Sets the worker that keeps room for the task's step, if there is one.
+    void choose_kept_worker(
+        job_entry& job, task_name const& task, base::instant now);
+    /// The worker that is the first to have room for the task, and when.
+    [[nodiscard]] std::optional<std::pair<std::size_t, base::duration>>
+    first_with_room(
+        task_search const& search,
+        job_entry const& job,
+        base::instant now) const;
     /// Until the short runs that are in its way have ended, by their estimates;
     /// nothing if the worker will not have the room or may not get the task.
     [[nodiscard]] std::optional<base::duration> time_until_room(
-        std::size_t worker, step const& wanted, base::instant now) const;
+        std::size_t worker, task_search const& search, base::instant now) const;
 
     // scheduler_placing.cpp
     void place(
--- a/libs/jobs/src/scheduler_draining.cpp
+++ b/libs/jobs/src/scheduler_draining.cpp
@@ -123,12 +123,8 @@
                    .avoided = index,
                    .least_speed = least_speed_elsewhere,
                    .advice = this->advice_on(*job, run.task)});
-        // The end of a run that ends with its worker is never read, so that its
-        // task waits for the lease, which is longer than what is left here.
-        bool const loses_work = !step.is_lasting && !step.has_checkpoints;
-        if (!found.worker && loses_work) {
-            continue;
-        }
+        // Also without room elsewhere: the end of a run that ends with its
+        // worker is never read, and its task waits for the lease.
         this->log(base::event_line{"run_leaves"}
                       .add("task", to_string(run.task))
                       .add("attempt", run.attempt)
--- a/libs/jobs/src/scheduler_keeping.cpp
+++ b/libs/jobs/src/scheduler_keeping.cpp
@@ -17,12 +17,12 @@
 /// callers count it as lost after 9 s, if there is room.
 constexpr base::duration starving_after = base::milliseconds(5000);
 
-/// One worker in this many keeps room at a time, which bounds what short tasks
-/// lose.
+/// One worker in this many keeps room at a time, since kept room is idle.
 constexpr std::size_t workers_by_kept_room = 64;
 
 /// A search for a worker that is to keep room compares the runs of many.
 constexpr base::duration keep_search_gap = base::milliseconds(200);
+constexpr std::size_t keep_searches_in_run = 4;
 
 /// Of a run whose duration nobody has told.
 constexpr base::duration unknown_time_left = base::seconds(5);
@@ -32,11 +32,13 @@
 bool scheduler::implementation::is_starving(
     job_entry const& job, std::size_t ordinal, base::instant now)
 {
-    auto const name = job.name_of(ordinal);
     auto const& task = job.tasks[ordinal];
+    if (!task.runs.empty()) {
+        return false;
+    }
+    auto const name = job.name_of(ordinal);
     auto const ready_at = job.steps[job.step_slot(name)].ready_at;
-    if (!job.spec.steps[name.step].is_lasting || !task.runs.empty() ||
-        ready_at == base::instant{}) {
+    if (!job.spec.steps[name.step].is_lasting || ready_at == base::instant{}) {
         return false;
     }
     // How long a task of an earlier leader has waited is not known.
@@ -48,7 +50,13 @@
 bool scheduler::implementation::has_starving_task(
     job_entry const& job, base::instant now)
 {
-    if (job.idle == 0) {
+    auto const& steps = job.spec.steps;
+    bool const may_starve =
+        job.idle > 0 &&
+        std::any_of(steps.begin(), steps.end(), [](step const& each) {
+            return each.is_lasting;
+        });
+    if (!may_starve) {
         return false;
     }
     for (std::size_t i = 0; i < job.tasks.size(); ++i) {
@@ -61,6 +69,7 @@
 
 void scheduler::implementation::release_kept_room()
 {
+    this->keep_searches_left = keep_searches_in_run;
     for (auto const index : std::exchange(this->kept, {})) {
         this->workers[index].kept = {};
         this->update_vacancy(index);
@@ -80,54 +89,83 @@
             continue; // one worker for each step
         }
         step.kept_at = now;
-        auto const& wanted = job.spec.steps[name.step];
-        if (step.kept_worker &&
-            !this->time_until_room(*step.kept_worker, wanted, now)) {
-            step.kept_worker.reset();
-        }
-        if (!step.kept_worker && now >= step.keep_search_due) {
-            step.keep_search_due = now + keep_search_gap;
-            step.kept_worker = this->first_with_room(wanted, job, now);
-        }
+        this->choose_kept_worker(job, name, now);
         if (step.kept_worker) {
             auto& worker = this->workers[*step.kept_worker];
-            worker.kept += wanted.need;
+            worker.kept += job.spec.steps[name.step].need;
             this->kept.push_back(*step.kept_worker);
             this->update_vacancy(*step.kept_worker);
         }
     }
 }
 
-std::optional<std::size_t> scheduler::implementation::first_with_room(
-    step const& wanted, job_entry const& job, base::instant now) const
+void scheduler::implementation::choose_kept_worker(
+    job_entry& job, task_name const& task, base::instant now)
+{
+    auto& step = job.steps[job.step_slot(task)];
+    auto const& wanted = job.spec.steps[task.step];
+    auto const own = runs_by_worker(
+        job, job.first_task(task.occurrence, task.step), wanted.count);
+    task_search const search{
+        .wanted = &wanted,
+        .own_runs = own,
+        .advice = this->advice_on(job, task)};
+    auto const wait =
+        step.kept_worker ? this->time_until_room(*step.kept_worker, search, now)
+                         : std::nullopt;
+    if (!wait) {
+        step.kept_worker.reset();
+    }
+    if (now < step.keep_search_due || this->keep_searches_left == 0) {
+        return;
+    }
+    --this->keep_searches_left;
+    step.keep_search_due = now + keep_search_gap;
+    auto const first = this->first_with_room(search, job, now);
+    // What has ended on the kept worker would be given away by a change.
+    constexpr std::int64_t gain_of_change = 2;
+    if (first && (!wait || first->second * gain_of_change < *wait)) {
+        step.kept_worker = first->first;
+    }
+}
+
+std::optional<std::pair<std::size_t, base::duration>>
+scheduler::implementation::first_with_room(
+    task_search const& search, job_entry const& job, base::instant now) const
 {
     auto const list = this->vacancies.find(this->queue_of(job)->service);
     if (list == this->vacancies.end()) {
         return std::nullopt;
     }
-    std::optional<std::size_t> first;
-    base::duration shortest{};
+    std::optional<std::pair<std::size_t, base::duration>> first;
     for (auto const& choice : list->second) {
-        auto const wait = this->time_until_room(choice.worker, wanted, now);
-        if (wait && (!first || *wait < shortest)) {
-            first = choice.worker;
-            shortest = *wait;
+        auto const wait = this->time_until_room(choice.worker, search, now);
+        if (wait && (!first || *wait < first->second)) {
+            first.emplace(choice.worker, *wait);
         }
     }
     return first;
 }
 
 std::optional<base::duration> scheduler::implementation::time_until_room(
-    std::size_t index, step const& wanted, base::instant now) const
+    std::size_t index, task_search const& search, base::instant now) const
 {
     auto const& worker = this->workers[index];
     auto const& capacity = worker.info.capacity;
-    placement_wish const wish{.wanted = &wanted};
-    if (!is_usable(worker, now) ||
-        find_obstacle(worker, wish) == obstacle::not_allowed ||
-        worker.serving_processors + worker.kept.processors +
-                wanted.need.processors >
-            capacity.processors) {
+    auto const& wanted = *search.wanted;
+    auto const mine = search.own_runs.find(index);
+    placement_wish const wish{
+        .wanted = &wanted,
+        .own_runs = mine == search.own_runs.end() ? 0 : mine->second};
+    bool const is_full_for_good = worker.serving_processors +
+                                      worker.kept.processors +
+                                      wanted.need.processors >
+                                  capacity.processors;
+    bool const is_without_ticket =
+        search.advice != nullptr &&
+        !has_ticket(*search.advice, index, worker.born_ms, now);
+    if (is_full_for_good || is_without_ticket || !is_usable(worker, now) ||
+        find_obstacle(worker, wish) == obstacle::not_allowed) {
         return std::nullopt;
     }
     std::vector<std::pair<base::duration, resources>> ends;
--- a/libs/jobs/src/scheduler_placing.cpp
+++ b/libs/jobs/src/scheduler_placing.cpp
@@ -3,7 +3,6 @@
 #include "urgency.hpp"
 
 #include <algorithm>
-#include <span>
 #include <tuple>
 #include <utility>
 
@@ -43,7 +42,8 @@
 /// A timed task may start this much early at most; the callers allow 250 ms.
 constexpr std::int64_t due_slack_ms = 0;
 
-/// Counts the runs of a step by worker.
+} // namespace
+
 std::map<std::size_t, std::size_t>
 runs_by_worker(job_entry const& job, std::size_t first, std::size_t count)
 {
@@ -56,8 +56,6 @@
     return result;
 }
 
-} // namespace
-
 void scheduler::implementation::place(
     std::vector<worker_order>& orders, base::instant now, std::int64_t wall_ms)
 {
@@ -66,7 +64,6 @@
     // Lasting tasks that have waited for long go first all the same.
     struct rank
     {
-        bool is_patient = true;
         std::int64_t priority = 0;
         chance_of_worth chance = chance_of_worth::full;
         bool is_lasting = false;
@@ -76,6 +73,7 @@
         job_entry* job = nullptr;
     };
     std::vector<rank> waiting;
+    std::vector<job_entry*> starving;
     for (auto& [id, job] : this->jobs) {
         bool const has_work =
             job->idle > 0 || (job->has_racing_step && job->open_runs > 0);
@@ -98,46 +96,45 @@
                             : !is_worthless        ? chance_of_worth::late
                                                    : chance_of_worth::none;
         waiting.push_back(
-            {.is_patient = !has_starving_task(*job, now),
-             .priority = queue->priority,
+            {.priority = queue->priority,
              .chance = chance,
              .is_lasting = is_lasting,
              .due_ms = (job->seen_at + objective).ms,
              .id = &id,
              .job = job.get()});
+        if (has_starving_task(*job, now)) {
+            starving.push_back(job.get());
+        }
     }
     std::sort(waiting.begin(), waiting.end(), [](rank const& a, rank const& b) {
-        return std::tie(
-                   a.is_patient, a.priority, a.chance, a.is_lasting, a.due_ms,
-                   *a.id) <
-               std::tie(
-                   b.is_patient, b.priority, b.chance, b.is_lasting, b.due_ms,
-                   *b.id);
+        return std::tie(a.priority, a.chance, a.is_lasting, a.due_ms, *a.id) <
+               std::tie(b.priority, b.chance, b.is_lasting, b.due_ms, *b.id);
     });
     std::erase_if(this->unplaced, [&](unplaceable const& failed) {
         return failed.until <= now;
     });
     this->starts_left = starts_in_run;
     this->release_kept_room();
-    auto const place_each = [&](std::span<rank const> ranks) {
-        for (auto const& entry : ranks) {
-            if (entry.job->idle > 0) {
-                this->place_job(*entry.job, orders, now, wall_ms);
-            }
-            this->race_stragglers(*entry.job, orders, now);
-        }
-    };
-    std::span<rank const> const ranks{waiting};
-    auto const starving = static_cast<std::size_t>(
-        std::count_if(ranks.begin(), ranks.end(), [](rank const& each) {
-            return !each.is_patient;
-        }));
-    place_each(ranks.first(starving));
+    std::sort(starving.begin(), starving.end(), [](auto* a, auto* b) {
+        return std::tie(a->seen_at, a->spec.id) <
+               std::tie(b->seen_at, b->spec.id);
+    });
+    this->is_placing_starving = true;
+    for (auto* const job : starving) {
+        this->place_job(*job, orders, now, wall_ms);
+    }
+    this->is_placing_starving = false;
     // Room that is kept for one starving task may go to another.
-    for (auto const& entry : ranks.first(starving)) {
-        this->keep_room(*entry.job, now);
+    for (auto* const job : starving) {
+        this->keep_room(*job, now);
+    }
+    for (auto const& entry : waiting) {
+        auto& job = *entry.job;
+        if (job.idle > 0) {
+            this->place_job(job, orders, now, wall_ms);
+        }
+        this->race_stragglers(job, orders, now);
     }
-    place_each(ranks.subspan(starving));
 }
 
 bool scheduler::implementation::is_placeable(unplaceable const& wanted) const
@@ -210,7 +207,8 @@
         .advice = this->advice_on(job, job.name_of(first))};
     for (std::size_t i = first; i < first + wanted.count; ++i) {
         auto& task = job.tasks[i];
-        if (task.is_done || !task.runs.empty() || now < task.not_before) {
+        if (task.is_done || !task.runs.empty() || now < task.not_before ||
+            (this->is_placing_starving && !is_starving(job, i, now))) {
             continue;
         }
         if (this->starts_left == 0) {
@@ -272,6 +270,9 @@
     base::instant now)
 {
     auto const& wanted = job.spec.steps[step_number];
+    if (this->is_placing_starving && !wanted.is_lasting) {
+        return;
+    }
     auto const first = job.first_task(occurrence, step_number);
     std::uint32_t attempt = 0;
     std::string checkpoint;
--- a/libs/jobs/src/scheduler_reports.cpp
+++ b/libs/jobs/src/scheduler_reports.cpp
@@ -15,6 +15,9 @@
 /// it starts does so within 0.2 s.
 constexpr base::duration sound_after = base::milliseconds(500);
 
+/// A lasting task that fails later than this says nothing of its worker.
+constexpr base::duration served_after = base::milliseconds(3000);
+
 /// A task that worked for this long without progress is started elsewhere.
 /// Percents of the longest tasks (24 s) change every 0.24 s.
 constexpr base::duration stuck_after = base::milliseconds(2500);
@@ -277,8 +280,10 @@
     auto const place = this->find_task(end.run.task);
     auto const* const run = this->find_run(index, end.run);
     auto const began_at = run ? run->started_at : base::instant{};
-    // A lasting task that was at work may fail by itself at any time.
-    bool const was_serving = run != nullptr && run->percent >= at_work;
+    // A lasting task that has served may fail by itself at any time.
+    bool const has_served = run != nullptr && run->percent >= at_work &&
+                            now - began_at >= served_after;
+    bool const is_trial = worker.trust.is_trial(end.run);
     this->log(
         base::event_line{"run_ended"}
             .add("task", to_string(end.run.task))
@@ -309,7 +314,11 @@
             this->on_done(*place.job, place.ordinal, end.run);
         }
     } else if (end.outcome == run_outcome::failed) {
-        if (!is_lasting || !was_serving) {
+        // A task that failed before is more likely at fault than its workers:
+        // some jobs can never be done.
+        bool const is_task_at_fault =
+            is_lasting ? has_served : !task.failed_attempts.empty();
+        if (is_trial || !is_task_at_fault) {
             this->doubt_worker(index, *place.job, place.ordinal, began_at, now);
         }
         this->on_failed(*place.job, place.ordinal, index, end.run.attempt);
@@ -323,11 +332,6 @@
     base::instant began_at,
     base::instant now)
 {
-    // A task that failed before is more likely at fault than its workers: some
-    // jobs can never be done.
-    if (!job.tasks[ordinal].failed_attempts.empty()) {
-        return;
-    }
     auto& worker = this->workers[index];
     auto const barred = worker.trust.on_failure(job.spec.id, began_at, now);
     if (barred) {
--- a/libs/jobs/src/worker_trust.cpp
+++ b/libs/jobs/src/worker_trust.cpp
@@ -19,7 +19,7 @@
 /// bounds how long a worker that is sound again stays unused: the callers count
 /// its room 7 s later at the earliest.
 constexpr base::duration first_bar = base::milliseconds(1500);
-constexpr base::duration longest_bar = base::seconds(6);
+constexpr base::duration longest_bar = base::seconds(5);
 
 } // namespace
 
@@ -89,6 +89,11 @@
     return this->trial.has_value();
 }
 
+bool worker_trust::is_trial(run_name const& run) const
+{
+    return this->trial == run;
+}
+
 bool worker_trust::is_doubtful() const
 {
     return this->bars > 0 || !this->failing_jobs.empty();
--- a/libs/jobs/src/worker_trust.hpp
+++ b/libs/jobs/src/worker_trust.hpp
@@ -45,7 +45,9 @@
     [[nodiscard]] bool is_barred(base::instant now) const;
     /// Its trial runs, so that nothing else may start.
     [[nodiscard]] bool is_trial_out() const;
-    /// Runs have failed there lately.
+    /// This run is its trial.
+    [[nodiscard]] bool is_trial(run_name const& run) const;
+    /// Runs have failed there since one last went well.
     [[nodiscard]] bool is_doubtful() const;
 
 private:
--- a/libs/jobs/tests/simulated_world.hpp
+++ b/libs/jobs/tests/simulated_world.hpp
@@ -13,6 +13,7 @@
 #include <queue>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace foxtaillift::jobs::testing
@@ -135,6 +136,7 @@
     bool is_draining = false;  ///< as the platform lists it
     bool is_failing = false;   ///< fails all that it starts
     base::instant leaves_at{}; ///< while it drains
+    std::vector<std::pair<base::instant, resources>> freed{}; ///< by ends
 };
 
 /// A task without a run although its turn has come.
