--- a/libs/jobs/tests/simulated_world.cpp
+++ b/libs/jobs/tests/simulated_world.cpp
@@ -267,11 +267,11 @@
         if (now - waits.idle_since >= idle_allowed + room_allowed &&
             this->needs.at(each.job).fits_in(room)) {
             // Its own start may be on the way.
-            this->time.at(now + on_the_way, [this, task, each = each] {
-                if (!this->is_running(each)) {
+            this->time.at(now + on_the_way, [this, task, starving = each] {
+                if (!this->is_running(starving)) {
                     this->violations.push_back(
                         to_string(task) + " took the room of " +
-                        to_string(each));
+                        to_string(starving));
                 }
             });
             return;
