Keep work coming in the trace of the failing worker

The trace gave all its tasks in the first 7 s and asked at 120 s whether the worker that fails everything is in quarantine.

Ruled out: a worker that is released although it still fails. The second batch of 140 tasks, from 30 to 100 s, makes it fail again, and it is in quarantine again at the end. The expectation itself is unchanged and asks for more now: the worker is found a second time.

--- a/libs/replay/tests/replay_test.cpp
+++ b/libs/replay/tests/replay_test.cpp
@@ -221,7 +221,7 @@
     };
     CHECK(
         run({good}, 0) == "event=replayed trace=\"worker that fails "
-                          "everything\" events=124 expectations=6 "
+                          "everything\" events=264 expectations=6 "
                           "violated=0\n");
     auto const text = run({file.path.string(), good}, 1);
     CHECK(
