Give each number of a submission the range of its meaning

Amounts of job texts: 1e12 as on the platform (1e15 before), since sums over all workers must stay within 64 bits.

--- a/libs/jobs/include/foxtaillift/jobs/job.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/job.hpp
@@ -77,6 +77,11 @@
     std::optional<adviser_terms> adviser{};
 };
 
+/// Latest time of day that a job can name, the end of the year 9999 [ms since
+/// 1970], and the longest interval [ms], some 31 years.
+constexpr std::int64_t latest_time_ms = 253'402'300'799'999;
+constexpr std::int64_t longest_interval_ms = 1'000'000'000'000;
+
 struct job_spec
 {
     std::string id{};
@@ -86,9 +91,9 @@
     std::optional<jobs::queue> terms{};
     std::string payload{}; ///< opaque text that every start carries
     std::vector<step> steps{};
-    std::uint32_t repeats = 0;     ///< occurrences; 0: runs once, untimed
-    std::int64_t first_due_ms = 0; ///< time of day, since 1970
-    std::int64_t repeat_interval_ms = 0;
+    std::uint32_t repeats = 0;           ///< occurrences; 0: runs once, untimed
+    std::int64_t first_due_ms = 0;       ///< since 1970, up to latest_time_ms
+    std::int64_t repeat_interval_ms = 0; ///< up to longest_interval_ms
 
     [[nodiscard]] std::uint32_t occurrences() const
     {
--- a/libs/jobs/src/job.cpp
+++ b/libs/jobs/src/job.cpp
@@ -28,6 +28,16 @@
         "step " + std::to_string(step) + ": " + problem};
 }
 
+void check_time(
+    std::int64_t value, std::int64_t latest, std::string const& what)
+{
+    if (value < 0 || value > latest) {
+        throw base::error{
+            base::error_code::invalid_argument,
+            what + " is not between 0 and " + std::to_string(latest) + " ms"};
+    }
+}
+
 void check_step(step const& step, std::size_t number)
 {
     if (step.count == 0) {
@@ -37,6 +47,9 @@
         step.need.accelerators < 0) {
         refuse(number, "an amount of resources is negative");
     }
+    check_time(
+        step.estimate.ms, longest_interval_ms,
+        "step " + std::to_string(number) + ": the estimated time of a task");
     for (auto const dependency : step.depends_on) {
         if (dependency >= number) {
             refuse(
@@ -79,6 +92,11 @@
             "a job has between 1 and " + std::to_string(steps_limit) +
                 " steps"};
     }
+    check_time(
+        job.first_due_ms, latest_time_ms, "the time of the first occurrence");
+    check_time(
+        job.repeat_interval_ms, longest_interval_ms,
+        "the interval between occurrences");
     std::uint64_t tasks = 0;
     for (std::size_t number = 0; number < job.steps.size(); ++number) {
         check_step(job.steps[number], number);
--- a/libs/jobs/src/job_text.cpp
+++ b/libs/jobs/src/job_text.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <cctype>
 #include <cstdint>
+#include <limits>
 #include <string>
 #include <utility>
 
@@ -23,6 +24,9 @@
 /// most.
 constexpr std::size_t longest_id = 64;
 
+/// Of amounts and numbers; sums over all workers stay within 64 bits.
+constexpr std::uint64_t largest_count = 1'000'000'000'000;
+
 [[noreturn]] void refuse(std::string const& problem)
 {
     throw base::error{base::error_code::invalid_argument, problem};
@@ -60,22 +64,23 @@
         this->left.erase(found);
     }
 
-    /// A whole number that is not negative.
+    /// A whole number between 0 and `largest`.
     template <class Number>
-    void take_number(char const* name, Number& target)
+    void take_number(
+        char const* name, Number& target, std::uint64_t largest = largest_count)
     {
         auto const found = this->left.find(name);
         if (found == this->left.end()) {
             return;
         }
-        constexpr std::uint64_t most = 1'000'000'000'000'000;
+        auto const most = std::min<std::uint64_t>(
+            largest, std::numeric_limits<Number>::max());
         if (!found->is_number_unsigned() ||
-            found->get<std::uint64_t>() >
-                std::min<std::uint64_t>(
-                    most, std::numeric_limits<Number>::max())) {
+            found->get<std::uint64_t>() > most) {
             refuse(
                 this->where + ": \"" + name +
-                "\" is no number within its bounds: " + found->dump());
+                "\" is not a whole number between 0 and " +
+                std::to_string(most) + ": " + found->dump());
         }
         target = found->get<Number>();
         this->left.erase(found);
@@ -122,7 +127,7 @@
     reader.take_number("processors", result.need.processors);
     reader.take_number("memory_mb", result.need.memory_mb);
     reader.take_number("accelerators", result.need.accelerators);
-    reader.take_number("estimate_ms", result.estimate.ms);
+    reader.take_number("estimate_ms", result.estimate.ms, longest_interval_ms);
     reader.take("depends_on", result.depends_on);
     reader.take("gang", result.is_gang);
     reader.take("rack_bound", result.is_rack_bound);
@@ -163,8 +168,9 @@
     reader.take("queue", job.queue);
     reader.take("payload", job.payload);
     reader.take_number("repeats", job.repeats);
-    reader.take_number("first_due_ms", job.first_due_ms);
-    reader.take_number("repeat_interval_ms", job.repeat_interval_ms);
+    reader.take_number("first_due_ms", job.first_due_ms, latest_time_ms);
+    reader.take_number(
+        "repeat_interval_ms", job.repeat_interval_ms, longest_interval_ms);
     std::size_t number = 0;
     for (auto const& each : reader.take_array("steps")) {
         job.steps.push_back(
--- a/libs/jobs/tests/operator_interface_test.cpp
+++ b/libs/jobs/tests/operator_interface_test.cpp
@@ -118,6 +118,14 @@
     CHECK(is_refused_for(nested, "nested"));
     CHECK(is_refused_for(R"({"id":"a","payload":)" + nested + "}", "nested"));
     CHECK(is_refused_for(R"({"id":"a","repeats":1e999})", "no JSON"));
+    auto const timed = decode_job_text(R"({"id": "a", "queue": "q",
+        "steps": [{"count": 1}], "repeats": 2,
+        "first_due_ms": 1796450400123, "repeat_interval_ms": 5})");
+    CHECK(timed.first_due_ms == 1'796'450'400'123);
+    CHECK(is_refused_for(
+        R"({"id":"a","first_due_ms":253402300800000})",
+        "\"first_due_ms\" is not a whole number between 0 and "
+        "253402300799999"));
     CHECK(is_refused_for("[]", "not an object"));
     CHECK(is_refused_for(R"({"queue": "q", "steps": []})", "\"id\""));
     CHECK(is_refused_for(R"({"id": "a.b", "steps": []})", "\"id\""));
