Let the limit of stuck runs follow from what a percent takes

A run whose percent stood still for 2.5 s counted as stuck, so that a task of more than 250 s was stopped and started again for good: a percent of 350 s takes 3.5 s. A single stuck run also barred its worker, so that one hopeless job could bar all workers of a label.

The limit is 8 times what a percent takes by the estimate or by the run's own pace, at least 2.5 s as before (filling: 5 s), and doubles from the third stuck run of a task on, for tasks that nobody estimated well. Stuck runs are evidence like failed ones: two jobs. Work of up to 31 s by its estimate and pace has the same limit as before.

--- a/libs/jobs/src/job_table.hpp
+++ b/libs/jobs/src/job_table.hpp
@@ -40,6 +40,7 @@
     /// Progress of which the report told first, and the time at full speed that
     /// the run has worked since, by the processors that it used.
     int first_percent = -1;
+    base::instant first_percent_at{};
     double worked_ms = 0;
     base::instant measured_at{};
     int pace = 100; ///< percent, as ordered last
@@ -73,11 +74,11 @@
     std::vector<std::uint32_t> failed_attempts{};
     std::string checkpoint{};
     base::instant not_before{};
-    base::instant idle_since{}; ///< when its last run was closed
     run_release released_by = run_release::none; ///< its last run
     /// When a report last spoke for the presence of its last run.
     base::instant last_present{};
     std::optional<std::size_t> avoided_worker{}; ///< where it failed last
+    std::uint32_t stalls = 0;                    ///< runs of it that were stuck
     std::vector<run_entry> runs{};
 };
 
--- a/libs/jobs/src/scheduler_core.hpp
+++ b/libs/jobs/src/scheduler_core.hpp
@@ -362,11 +362,12 @@
         std::size_t ordinal,
         std::size_t worker,
         std::uint32_t attempt);
-    /// A run of the task that began then failed there.
+    /// A run of the task that began then failed there, or is stuck.
     void doubt_worker(
         std::size_t worker,
         job_entry const& job,
         std::size_t ordinal,
+        std::string_view reason,
         base::instant began_at,
         base::instant now);
     /// Ends the job if the task has failed as often as its queue allows.
--- a/libs/jobs/src/scheduler_placing.cpp
+++ b/libs/jobs/src/scheduler_placing.cpp
@@ -214,14 +214,12 @@
         if (this->starts_left == 0) {
             return; // the next run goes on
         }
-        auto const idle_since =
-            std::max(task.idle_since, job.steps[slot].ready_at);
         unplaceable const kind{
             .service = this->queue_of(job)->service,
             .image = image,
             .is_filling = wanted.is_filling,
             .is_serving = wanted.is_lasting,
-            .least_speed = least_speed_after(now - idle_since),
+            .least_speed = least_speed_after(now - job.steps[slot].ready_at),
             .need = wanted.need,
             .until = wanted.is_filling ? now + filling_retry : now};
         if (!this->is_placeable(kind)) {
@@ -274,6 +272,10 @@
         return;
     }
     auto const first = job.first_task(occurrence, step_number);
+    auto& ready_at = job.steps[job.step_slot(job.name_of(first))].ready_at;
+    if (ready_at == base::instant{}) {
+        ready_at = now;
+    }
     std::uint32_t attempt = 0;
     std::string checkpoint;
     for (std::size_t i = first; i < first + wanted.count; ++i) {
@@ -295,14 +297,13 @@
     };
     for (std::size_t i = first; i < first + wanted.count; ++i) {
         auto const found = this->find_worker(
-            job,
-            {.wanted = &wanted,
-             .image = this->interference.number_of(wanted.image),
-             .own_runs = own,
-             .own_rack = own_rack,
-             .avoided = job.tasks[i].avoided_worker,
-             .least_speed = least_speed_after(now - job.tasks[i].idle_since),
-             .advice = this->advice_on(job, job.name_of(i))});
+            job, {.wanted = &wanted,
+                  .image = this->interference.number_of(wanted.image),
+                  .own_runs = own,
+                  .own_rack = own_rack,
+                  .avoided = job.tasks[i].avoided_worker,
+                  .least_speed = least_speed_after(now - ready_at),
+                  .advice = this->advice_on(job, job.name_of(i))});
         if (!found.worker) {
             undo();
             this->ask_adviser(job, job.name_of(i), orders, now);
--- a/libs/jobs/src/scheduler_reports.cpp
+++ b/libs/jobs/src/scheduler_reports.cpp
@@ -1,4 +1,5 @@
 #include "scheduler_core.hpp"
+#include "stall.hpp"
 
 #include <algorithm>
 
@@ -18,14 +19,6 @@
 /// A lasting task that fails later than this says nothing of its worker.
 constexpr base::duration served_after = base::milliseconds(3000);
 
-/// A task that worked for this long without progress is started elsewhere.
-/// Percents of the longest tasks (24 s) change every 0.24 s.
-constexpr base::duration stuck_after = base::milliseconds(2500);
-constexpr base::duration stuck_filling_after = base::milliseconds(5000);
-/// A lasting task is at work 340 to 420 ms after its start on average, at most
-/// 4.5 s.
-constexpr base::duration stuck_lasting_after = base::milliseconds(5000);
-
 /// Wait between looks at a worker that does not answer.
 constexpr base::duration silent_look_gap = base::milliseconds(300);
 constexpr base::duration longest_silent_gap = base::milliseconds(1000);
@@ -44,6 +37,7 @@
 {
     if (run.first_percent < 0) {
         run.first_percent = reported.percent;
+        run.first_percent_at = now;
     } else {
         double const speed =
             step.is_filling && step.need.processors > 0
@@ -319,7 +313,8 @@
         bool const is_task_at_fault =
             is_lasting ? has_served : !task.failed_attempts.empty();
         if (is_trial || !is_task_at_fault) {
-            this->doubt_worker(index, *place.job, place.ordinal, began_at, now);
+            this->doubt_worker(
+                index, *place.job, place.ordinal, "runs fail", began_at, now);
         }
         this->on_failed(*place.job, place.ordinal, index, end.run.attempt);
     }
@@ -329,6 +324,7 @@
     std::size_t index,
     job_entry const& job,
     std::size_t ordinal,
+    std::string_view reason,
     base::instant began_at,
     base::instant now)
 {
@@ -337,7 +333,7 @@
     if (barred) {
         this->log(base::event_line{"worker_barred"}
                       .add("worker", worker.info.id)
-                      .add("reason", "runs fail")
+                      .add("reason", reason)
                       .add("task", to_string(job.name_of(ordinal)))
                       .add("for_ms", *barred));
     }
@@ -568,9 +564,8 @@
         entry->progressed_at = now;
         return;
     }
-    auto const limit = step.is_lasting   ? stuck_lasting_after
-                       : step.is_filling ? stuck_filling_after
-                                         : stuck_after;
+    auto& task = job->tasks[taken.ordinal];
+    auto const limit = stall_limit(*entry, step, task.stalls);
     if (now - entry->progressed_at < limit) {
         return;
     }
@@ -580,15 +575,12 @@
                   .add("attempt", run.attempt)
                   .add("worker", worker.info.id)
                   .add("percent", entry->percent)
-                  .add("for_ms", now - entry->progressed_at));
-    if (auto const barred = worker.trust.on_stuck(entry->started_at, now)) {
-        this->log(base::event_line{"worker_barred"}
-                      .add("worker", worker.info.id)
-                      .add("reason", "a run is stuck")
-                      .add("task", to_string(run.task))
-                      .add("for_ms", *barred));
-    }
-    job->tasks[taken.ordinal].avoided_worker = index;
+                  .add("for_ms", now - entry->progressed_at)
+                  .add("limit_ms", limit));
+    this->doubt_worker(
+        index, *job, taken.ordinal, "runs are stuck", entry->started_at, now);
+    ++task.stalls;
+    task.avoided_worker = index;
     this->stop_run(index, run);
 }
 
--- a/libs/jobs/src/worker_trust.cpp
+++ b/libs/jobs/src/worker_trust.cpp
@@ -47,15 +47,6 @@
     return this->bar(now);
 }
 
-std::optional<base::duration>
-worker_trust::on_stuck(base::instant began_at, base::instant now)
-{
-    if (this->is_known_occasion(began_at)) {
-        return std::nullopt;
-    }
-    return this->bar(now);
-}
-
 void worker_trust::on_success(base::instant began_at)
 {
     this->failing_jobs.clear();
--- a/libs/jobs/src/worker_trust.hpp
+++ b/libs/jobs/src/worker_trust.hpp
@@ -25,14 +25,12 @@
     // Commands
 
     void on_start(run_name const& run);
-    /// Returns for how long the worker is barred, if it is barred by this.
+    /// A run failed there or is stuck. Returns for how long the worker is
+    /// barred, if it is barred by this.
     /// `began_at`: when the run was started; a time before all others if that
     /// is not known.
     std::optional<base::duration>
     on_failure(std::string_view job, base::instant began_at, base::instant now);
-    /// A run makes no progress there. Returns the same as on_failure().
-    std::optional<base::duration>
-    on_stuck(base::instant began_at, base::instant now);
     /// A run has ended well.
     void on_success(base::instant began_at);
     /// A run works as it should; only its trial counts.
--- a/libs/jobs/tests/keeping_test.cpp
+++ b/libs/jobs/tests/keeping_test.cpp
@@ -136,6 +136,19 @@
     CHECK(test.play(base::seconds(9), "lasting"));
 }
 
+// Guards against the same for a gang, whose members start together or not at
+// all.
+TEST_CASE("a lasting gang that has waited for long goes before short tasks")
+{
+    full_worker_fixture test{{"a", "b"}};
+    test.play(base::seconds(2), "");
+    auto wanted = lasting_step(capacity / 4);
+    wanted.count = 3;
+    wanted.is_gang = true;
+    test.add("lasting", wanted);
+    CHECK(test.play(base::seconds(9), "lasting", 3));
+}
+
 // Guards against room kept in vain, from the work that could use it.
 TEST_CASE("no room is kept for a task that will not have it")
 {
