--- a/cmake/foxtaillift.cmake
+++ b/cmake/foxtaillift.cmake
@@ -25,6 +25,10 @@
   # GCC 12 reports false positives in std::string and std::optional at -O3.
   add_compile_options(-Wno-restrict -Wno-maybe-uninitialized)
 endif()
+if(NOT FOXTAILLIFT_SANITIZER STREQUAL "none")
+  # Reports of sanitizers need lines and nothing else of the debug information.
+  set(CMAKE_CXX_FLAGS_RELWITHDEBINFO "-O2 -g1 -DNDEBUG")
+endif()
 if(FOXTAILLIFT_SANITIZER STREQUAL "address")
   add_compile_options(
     -fsanitize=address,undefined -fno-sanitize-recover=all
@@ -33,6 +37,8 @@
   # GCC 12 reports false positives in standard headers when it instruments.
   add_compile_options(-Wno-maybe-uninitialized -Wno-stringop-overflow)
 elseif(FOXTAILLIFT_SANITIZER STREQUAL "thread")
+  # Optimised for the warnings that need it in the other builds only.
+  set(CMAKE_CXX_FLAGS_RELWITHDEBINFO "-O1 -g1 -DNDEBUG")
   # Asio uses fences, which ThreadSanitizer does not model; it warns of that
   # at compile time.
   add_compile_options(-fsanitize=thread -Wno-tsan)
@@ -65,11 +71,18 @@
     RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/bin)
 endfunction()
 
-# foxtaillift_test(<name> SOURCES ... DEPENDS ... [LABELS ...] [TIMEOUT s])
+# Builds what runs under ThreadSanitizer.
+add_custom_target(thread_tests)
+
+# foxtaillift_test(<name> SOURCES ... DEPENDS ... [LABELS ...] [TIMEOUT s]
+#                  [SHARDS n CASES_IN_SHARD k] [PROCESSORS n])
 # One doctest program; LABELS "threads" selects it for ThreadSanitizer and
-# "processes" marks tests that start the programs.
+# "processes" marks tests that start the programs. With SHARDS it is n tests
+# that can run side by side, of k cases each; the last one takes all that are
+# left. PROCESSORS: how many it counts for among the tests that run at once.
 function(foxtaillift_test name)
-  cmake_parse_arguments(ARG "" "TIMEOUT" "SOURCES;DEPENDS;LABELS" ${ARGN})
+  cmake_parse_arguments(ARG "" "TIMEOUT;SHARDS;CASES_IN_SHARD;PROCESSORS"
+    "SOURCES;DEPENDS;LABELS" ${ARGN})
   add_executable(${name} ${ARG_SOURCES})
   target_link_libraries(${name} PRIVATE ${ARG_DEPENDS})
   set_target_properties(${name} PROPERTIES
@@ -77,12 +90,33 @@
   target_compile_definitions(${name} PRIVATE
     FOXTAILLIFT_BINARY_DIR="${CMAKE_BINARY_DIR}/bin"
     FOXTAILLIFT_SOURCE_DIR="${CMAKE_SOURCE_DIR}")
-  add_test(NAME ${name} COMMAND ${name})
+  if("threads" IN_LIST ARG_LABELS)
+    add_dependencies(thread_tests ${name})
+  endif()
   if(NOT ARG_TIMEOUT)
     set(ARG_TIMEOUT 120)
   endif()
-  set_tests_properties(${name} PROPERTIES
-    TIMEOUT ${ARG_TIMEOUT} LABELS "${ARG_LABELS}")
+  if(NOT ARG_PROCESSORS)
+    set(ARG_PROCESSORS 1)
+  endif()
+  set(tests ${name})
+  if(ARG_SHARDS)
+    set(tests)
+    foreach(shard RANGE 1 ${ARG_SHARDS})
+      math(EXPR first "(${shard} - 1) * ${ARG_CASES_IN_SHARD} + 1")
+      math(EXPR last "${shard} * ${ARG_CASES_IN_SHARD}")
+      set(range --first=${first})
+      if(shard LESS ARG_SHARDS)
+        list(APPEND range --last=${last})
+      endif()
+      add_test(NAME ${name}_${shard} COMMAND ${name} ${range})
+      list(APPEND tests ${name}_${shard})
+    endforeach()
+  else()
+    add_test(NAME ${name} COMMAND ${name})
+  endif()
+  set_tests_properties(${tests} PROPERTIES
+    TIMEOUT ${ARG_TIMEOUT} LABELS "${ARG_LABELS}" PROCESSORS ${ARG_PROCESSORS})
 endfunction()
 
 # foxtaillift_benchmark(<name> SOURCES ... DEPENDS ...)
