--- a/cmake/foxtaillift.cmake
+++ b/cmake/foxtaillift.cmake
@@ -116,7 +116,9 @@
     add_test(NAME ${name} COMMAND ${name})
   endif()
   set_tests_properties(${tests} PROPERTIES
-    TIMEOUT ${ARG_TIMEOUT} LABELS "${ARG_LABELS}" PROCESSORS ${ARG_PROCESSORS})
+    TIMEOUT ${ARG_TIMEOUT} LABELS "${ARG_LABELS}" PROCESSORS ${ARG_PROCESSORS}
+    # Those that wait for others to end start first.
+    COST ${ARG_PROCESSORS})
 endfunction()
 
 # foxtaillift_benchmark(<name> SOURCES ... DEPENDS ...)
