Record workers that left for as long as the roster names them

A logged play: 26 workers leave at 19.5 s and drop out of the list at 19.75 s; the leader stops in order at 20.86 s, its successor leads at 21.0 s and starts what it inherited at 31.39 s (recovered after_ms=10438 unheard_workers=25). 25 of the 26 were empty. The roster names a worker for 3 s after it leaves the list, but the record of closed workers dropped it at once if nothing ran there. So the successor read of workers that nobody accounted for, and waited for every lease that its predecessor may have granted.

Ruled out: bars and starvation (no task waited in the log: all started in the first run after the recovery), ends that nobody read (one run only).

Both records now ask the same question, is_in_use(). The new case of closed_worker_test compares them every 100 ms and fails without the change. jobs_test: 199 cases passed.

--- a/libs/jobs/src/scheduler.cpp
+++ b/libs/jobs/src/scheduler.cpp
@@ -257,11 +257,7 @@
     std::vector<worker_info const*> result;
     for (std::size_t i = 0; i < this->impl->workers.size(); ++i) {
         auto const& worker = this->impl->workers[i];
-        bool const is_doubtful = !this->impl->is_recovered && !worker.is_heard;
-        bool const may_run =
-            !worker.is_gone &&
-            (worker.is_listed || worker.has_work() || is_doubtful);
-        if (may_run || implementation::may_start_unlisted(worker, now)) {
+        if (this->impl->is_in_use(worker, now)) {
             result.push_back(&worker.info);
         }
     }
--- a/libs/jobs/src/scheduler_closing.cpp
+++ b/libs/jobs/src/scheduler_closing.cpp
@@ -50,8 +50,10 @@
     for (std::size_t i = 0; i < this->workers.size(); ++i) {
         auto& worker = this->workers[i];
         bool const is_silent = worker.silent_looks > 0 || !worker.is_heard;
-        bool const is_in_use = worker.is_listed || worker.has_work();
-        if ((!is_silent && !is_leaving(worker)) || !is_in_use ||
+        // As long as the roster names it: what a successor reads there and not
+        // here, it waits for.
+        bool const is_known = worker.is_listed || this->is_in_use(worker, now);
+        if ((!is_silent && !is_leaving(worker)) || !is_known ||
             !worker.is_accounted()) {
             continue;
         }
--- a/libs/jobs/src/scheduler_core.hpp
+++ b/libs/jobs/src/scheduler_core.hpp
@@ -279,6 +279,9 @@
     /// the worker may be used for a while.
     [[nodiscard]] static bool
     may_start_unlisted(worker_entry const& worker, base::instant now);
+    /// Something runs there or may start there.
+    [[nodiscard]] bool
+    is_in_use(worker_entry const& worker, base::instant now) const;
     /// New tasks may start there, by all that is known of the worker.
     [[nodiscard]] static bool
     is_usable(worker_entry const& worker, base::instant now);
--- a/libs/jobs/src/scheduler_search.cpp
+++ b/libs/jobs/src/scheduler_search.cpp
@@ -62,6 +62,15 @@
     return !worker.is_listed && now - worker.unlisted_at < unlisted_grace;
 }
 
+bool scheduler::implementation::is_in_use(
+    worker_entry const& worker, base::instant now) const
+{
+    bool const is_doubtful = !this->is_recovered && !worker.is_heard;
+    bool const may_run = !worker.is_gone &&
+                         (worker.is_listed || worker.has_work() || is_doubtful);
+    return may_run || may_start_unlisted(worker, now);
+}
+
 bool scheduler::implementation::is_usable(
     worker_entry const& worker, base::instant now)
 {
--- a/libs/jobs/tests/closed_worker_test.cpp
+++ b/libs/jobs/tests/closed_worker_test.cpp
@@ -266,6 +266,53 @@
     CHECK_FALSE(is_covered(fewer, silent));
 }
 
+// Guards against LOST: a successor reads in the roster of workers that left
+// just before, finds them in no record, and starts nothing that it inherited
+// until all leases that its predecessor may have granted are over.
+TEST_CASE("a worker that has left is recorded while the roster names it")
+{
+    fixture test;
+    test.list("b");
+    test.list("a");
+    test.take<look_order>();
+    test.answer("a", test.report());
+    test.answer("b", test.report());
+    test.decisions.list_worker(
+        {.id = "a",
+         .address = "a",
+         .service = "s",
+         .capacity = {.processors = 8000, .memory_mb = 1000},
+         .is_draining = true},
+        test.now);
+    REQUIRE(test.decisions.close_workers(test.now).size() == 1);
+    test.wait(100);
+    test.decisions.on_look("a", order_status::unknown, {}, test.now, test.now);
+    test.decisions.unlist_worker("a", test.now);
+    constexpr std::int64_t step_ms = 100;
+    constexpr std::int64_t long_after_ms = 10'000;
+    std::size_t named = 0;
+    for (std::int64_t ms = 0; ms < long_after_ms; ms += step_ms) {
+        auto const in_use = test.decisions.workers_in_use(test.now);
+        bool const is_named =
+            std::any_of(in_use.begin(), in_use.end(), [](auto const* each) {
+                return each->id == "a";
+            });
+        auto const record = test.decisions.close_workers(test.now);
+        CHECK(record.size() == (is_named ? 1 : 0));
+        if (is_named) {
+            ++named;
+            REQUIRE(record.size() == 1);
+            CHECK(record[0].runs.empty());
+            // A successor of this moment need not wait for it.
+            successor next{record, {"b", "c"}};
+            CHECK(next.take<start_order>().size() == 2);
+        }
+        test.wait(step_ms);
+        test.answer("b", test.report());
+    }
+    CHECK(named > 0);
+}
+
 // The pattern: a leader takes over while workers leave orders unanswered
 // (answer_lost; scale-2 --seed 525919343649 of the grown Directorate). Guards
 // against TWICE: a worker that was heard once and then fell silent, before it
