--- a/libs/jobs/src/scheduler_orders.cpp
+++ b/libs/jobs/src/scheduler_orders.cpp
@@ -57,7 +57,7 @@
 /// carried out.
 constexpr base::duration doubtful_pace_gap = base::milliseconds(1000);
 
-/// Nothing else starts on a worker until its trial is seen at work.
+/// Nothing else starts on a half-open worker until its run is seen at work.
 constexpr base::duration trial_wait = base::milliseconds(300);
 
 /// Without runs a worker is only looked at to see that it lives.
--- a/libs/jobs/src/stall.cpp
+++ b/libs/jobs/src/stall.cpp
@@ -8,12 +8,12 @@
 namespace
 {
 
-/// Reports come every 0.1 to 0.3 s, and some are lost.
+/// Several reports may be lost in a row.
 constexpr base::duration least_limit = base::milliseconds(2500);
 /// Filling tasks get only what others leave.
 constexpr base::duration least_filling_limit = base::milliseconds(5000);
-/// A lasting task is at work 340 to 420 ms after its start on average, at most
-/// 4.5 s. Its percent tells that and no progress.
+/// The percent of a lasting task tells whether it is at work, not how far it
+/// is.
 constexpr base::duration lasting_limit = base::milliseconds(5000);
 
 /// The limit by the time that one percent takes. Estimates are rough, and a
--- a/libs/jobs/src/worker_trust.cpp
+++ b/libs/jobs/src/worker_trust.cpp
@@ -10,14 +10,12 @@
 {
 
 /// A job that can never be done fails everywhere, so failures of one say
-/// nothing of the worker. With 5% of tasks failing by their own fault, two jobs
-/// fail one after the other on a sound worker once in 400 starts: in a large
-/// fleet some workers are always barred in error, and the first bar is short.
+/// nothing of the worker.
 constexpr std::size_t jobs_until_barred = 2;
 
-/// A worker that fails for long costs one run for each bar. The longest bar
-/// bounds how long a worker that is sound again stays unused: the callers count
-/// its room 7 s later at the earliest.
+/// Two jobs can fail on a sound worker by their own fault, so the first bar is
+/// short. The longest bounds how long a worker that is sound again stays
+/// unused.
 constexpr base::duration first_bar = base::milliseconds(1500);
 constexpr base::duration longest_bar = base::seconds(5);
 
--- a/libs/jobs/src/worker_trust.hpp
+++ b/libs/jobs/src/worker_trust.hpp
@@ -12,9 +12,9 @@
 namespace foxtaillift::jobs
 {
 
-/// Bars a worker where runs of several jobs fail. After the bar it gets one run
-/// at a time, its trial, until a run that began since then goes well; if that
-/// one fails too, the next bar is longer.
+/// Bars a worker where runs of several jobs fail. After the bar it is half
+/// open: it gets a single run, and the next once a run that began since then
+/// goes well. If that run fails too, the next bar is longer.
 ///
 /// Failures of runs that began before the worker was barred belong to the
 /// occasion that barred it, whenever they become known: many runs that fail at
@@ -33,7 +33,8 @@
     on_failure(std::string_view job, base::instant began_at, base::instant now);
     /// A run has ended well.
     void on_success(base::instant began_at);
-    /// A run works as it should; only its trial counts.
+    /// A run works as it should. Counts for the single run of a half-open
+    /// worker.
     void on_progress(run_name const& run, base::instant began_at);
     /// The run is over, however it ended.
     void on_over(run_name const& run);
@@ -41,9 +42,9 @@
     // Queries
 
     [[nodiscard]] bool is_barred(base::instant now) const;
-    /// Its trial runs, so that nothing else may start.
+    /// Half open, and its single run is out: nothing else may start.
     [[nodiscard]] bool is_trial_out() const;
-    /// This run is its trial.
+    /// This is the single run of a half-open worker.
     [[nodiscard]] bool is_trial(run_name const& run) const;
     /// Runs have failed there since one last went well.
     [[nodiscard]] bool is_doubtful() const;
