--- a/review/9/scenario.py
+++ b/review/9/scenario.py
@@ -13,7 +13,7 @@
 from testbed import Node, Proxy, World, call, route  # noqa: E402
 
 HERE = os.path.dirname(os.path.abspath(__file__))
-PROGRAM = os.path.join(HERE, "..", "..", "target", "bin", "foxtail-node")
+ROOT = os.path.join(HERE, "..", "..")
 IS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 HOST, LASTING, NEW = "nony24.example", "/pule252/", "/rovo417/"
@@ -23,7 +23,7 @@
 
 class Case(World):
     def __init__(self, folder):
-        super().__init__(folder, PROGRAM)
+        super().__init__(folder, ROOT)
         self.proxies = []
         self.broken = []
 
--- a/review/standin-2/testbed.py
+++ b/review/standin-2/testbed.py
@@ -9,7 +9,6 @@
 import os
 import random
 import signal
-import socket
 import time
 import urllib.parse
 
@@ -554,9 +553,11 @@
                                       max_hold_ms=self.world.max_hold_ms,
                                       store=self.store_address))
         log = open(os.path.join(self.world.folder, f"{self.name}.log"), "ab")
+        # As in deploy/system.toml: no arguments, in the repository's root.
         self.process = await asyncio.create_subprocess_exec(
-            self.world.program, "--config", path, stdin=asyncio.subprocess.DEVNULL,
-            stdout=log, stderr=log)
+            self.world.program, cwd=self.world.root, stdin=asyncio.subprocess.DEVNULL,
+            stdout=log, stderr=log,
+            env={"PATH": os.environ.get("PATH", ""), "FOXTAILLIFT_CONFIG": path})
         log.close()
 
     def signal(self, number):
@@ -577,8 +578,9 @@
     max_hold_ms = 6000
     checkpoint_ms = 2000
 
-    def __init__(self, folder, program):
-        self.folder, self.program = folder, program
+    def __init__(self, folder, root):
+        self.folder, self.root = folder, os.path.abspath(root)
+        self.program = os.path.join(self.root, "target", "bin", "foxtail-node")
         self.began = time.monotonic()
         self.record = []
         self.tasks = set()
@@ -686,12 +688,6 @@
             "target-factor": factor}
 
 
-def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 class Proxy:
     """Stands between a host and the store. `silence()` drops all that passes on
     the open connections from then on, without closing them; new ones work."""
