Bar a job from being accepted before its cancellation is answered 410

Callers who had no answer to a submission while the store was silent cancelled it, heard 410, and the job started some ms later and ran on for good.

Cause: a cancellation that found no row of the job was answered from that reading alone. The leader went on with the write that held the submission, whose caller had been told 504. Ruled out: a leader that ignores the row of a cancellation (there is none), and a repeated submission (the case sends none).

Change: 410 is told only when a tombstone is durable in `ended`, on condition that the job was neither accepted nor has ended. Every submission already has the condition that no such row exists, so that a write that is out, late or repeated by anybody fails. Cancelling an unknown job costs one more call, all else what it did. The leader learns of tombstones from the feed that it follows anyway and removes them after 150 s; a host writes at most 500 in that time.

Why it holds for other orders: the tombstone and the acceptance exclude each other in the store, not in a host's view of it.

--- a/libs/jobs/include/foxtaillift/jobs/canceller.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/canceller.hpp
@@ -6,7 +6,9 @@
 #include "foxtaillift/jobs/peer_message.hpp"
 #include "foxtaillift/jobs/rows.hpp"
 
+#include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <memory>
 #include <optional>
 #include <string>
@@ -17,6 +19,10 @@
 
 /// Writes a row beside that of the job, which the leader follows. Any host can
 /// do so; one that the store does not answer asks the leader.
+///
+/// A job that the store does not know may still be accepted, by a write that is
+/// out or by a request that is repeated. "Unknown job" is told only once a
+/// tombstone bars it from being accepted, for record_options::ended_kept.
 template <host_ports Ports>
 class canceller : public std::enable_shared_from_this<canceller<Ports>>
 {
@@ -25,7 +31,8 @@
         : host(std::move(shared))
     {}
 
-    /// `deadline` bounds the time until the callback.
+    /// `job` is a valid identifier; `deadline` bounds the time until the
+    /// callback.
     void cancel(
         std::string const& job,
         base::duration deadline,
@@ -85,30 +92,66 @@
             is_cancelled |= row.key == cancellation_key(wanted.job);
         }
         if (accepted == nullptr) {
-            this->answer_over(wanted.job, std::move(callback));
+            this->find_ended(wanted, std::move(callback));
         } else if (is_cancelled) {
             callback(request_outcome::accepted);
         } else {
-            this->write(wanted, accepted->version, std::move(callback));
+            this->write_cancellation(
+                wanted, accepted->version, std::move(callback));
         }
     }
 
-    /// A job without a row of its own is over, or nobody submitted it.
-    void answer_over(std::string const& job, outcome_callback callback)
+    /// A job without a row of its own is over, or not accepted.
+    void find_ended(cancellation const& wanted, outcome_callback callback)
     {
         this->host->ports.read(
-            tables::ended, job, job + "!",
-            this->bound(
-                [callback = std::move(callback)](rows_result const& result) {
+            tables::ended, wanted.job, wanted.job + "!",
+            this->bound([this, wanted, sent_at = this->host->ports.now(),
+                         callback = std::move(callback)](
+                            rows_result const& result) mutable {
+                this->host->note_store(result.status, sent_at);
+                if (result.status != store_status::done) {
+                    this->cancel_elsewhere(wanted, std::move(callback));
+                } else if (result.rows.empty()) {
+                    this->write_tombstone(wanted, std::move(callback));
+                } else {
                     callback(
-                        result.status != store_status::done
-                            ? request_outcome::refused
-                        : result.rows.empty() ? request_outcome::unknown_job
-                                              : request_outcome::accepted);
-                }));
+                        has_tombstone(result.rows, wanted.job)
+                            ? request_outcome::unknown_job
+                            : request_outcome::accepted);
+                }
+            }));
     }
 
-    void write(
+    void write_tombstone(cancellation const& wanted, outcome_callback callback)
+    {
+        auto const now = this->host->ports.now();
+        auto const kept = this->host->options.leading.recording.ended_kept;
+        while (!this->tombstones.empty() &&
+               now - this->tombstones.front() > kept) {
+            this->tombstones.pop_front();
+        }
+        if (this->tombstones.size() >=
+            this->host->options.cancelling.tombstone_limit) {
+            callback(request_outcome::refused);
+            return;
+        }
+        this->tombstones.push_back(now);
+        row_change change;
+        change.conditions = {
+            {tables::jobs, submission_key(wanted.job), 0},
+            {tables::ended, wanted.job, 0}};
+        change.puts = {
+            {.table = tables::ended,
+             .key = wanted.job,
+             .value = tombstone_value},
+            {.table = tables::jobs, .key = tombstone_key(wanted.job)}};
+        this->write(
+            wanted, std::move(change), request_outcome::unknown_job,
+            std::move(callback));
+    }
+
+    void write_cancellation(
         cancellation const& wanted,
         std::int64_t version,
         outcome_callback callback)
@@ -118,16 +161,34 @@
             {tables::jobs, submission_key(wanted.job), version}};
         change.puts.push_back(
             {.table = tables::jobs, .key = cancellation_key(wanted.job)});
+        this->write(
+            wanted, std::move(change), request_outcome::accepted,
+            std::move(callback));
+    }
+
+    /// `outcome` is what the change makes true.
+    void write(
+        cancellation const& wanted,
+        row_change change,
+        request_outcome outcome,
+        outcome_callback callback)
+    {
         this->host->ports.change(
             std::move(change),
-            this->bound([this, wanted, sent_at = this->host->ports.now(),
+            this->bound([this, wanted, outcome,
+                         sent_at = this->host->ports.now(),
                          callback = std::move(callback)](
                             change_result const& result) mutable {
                 this->host->note_store(result.status, sent_at);
-                if (store_health::is_answer(result.status)) {
-                    callback(request_outcome::accepted);
-                } else {
+                if (result.status == store_status::done) {
+                    callback(outcome);
+                } else if (result.status != store_status::conflict) {
                     this->cancel_elsewhere(wanted, std::move(callback));
+                } else if (outcome == request_outcome::accepted) {
+                    callback(outcome); // the job has ended since it was read
+                } else {
+                    // It was accepted since then.
+                    this->try_again(wanted, {}, std::move(callback));
                 }
             }));
     }
@@ -137,7 +198,7 @@
     {
         if (!this->host->has_peer_leader() ||
             this->host->is_leader_doubtful()) {
-            this->cancel_again(wanted, std::move(callback));
+            this->try_again(wanted, retry_gap, std::move(callback));
             return;
         }
         this->host->ports.ask(
@@ -152,25 +213,30 @@
                 if (is_final) {
                     callback(*reply->cancellation);
                 } else {
-                    this->cancel_again(wanted, std::move(callback));
+                    this->try_again(wanted, retry_gap, std::move(callback));
                 }
             }));
     }
 
-    void cancel_again(cancellation const& wanted, outcome_callback callback)
+    void try_again(
+        cancellation const& wanted,
+        base::duration gap,
+        outcome_callback callback)
     {
-        if (this->host->ports.now() + retry_gap >= wanted.give_up_at) {
+        if (this->host->ports.now() + gap >= wanted.give_up_at) {
             callback(request_outcome::unknown);
             return;
         }
         this->host->ports.after(
-            retry_gap, this->bound([this, wanted,
-                                    callback = std::move(callback)]() mutable {
-                this->try_cancel(wanted, std::move(callback));
-            }));
+            gap, this->bound(
+                     [this, wanted, callback = std::move(callback)]() mutable {
+                         this->try_cancel(wanted, std::move(callback));
+                     }));
     }
 
     std::shared_ptr<host_state<Ports>> host;
+    /// When this host wrote tombstones that may still be there, oldest first.
+    std::deque<base::instant> tombstones{};
 };
 
 } // namespace foxtaillift::jobs
--- a/libs/jobs/include/foxtaillift/jobs/host_state.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/host_state.hpp
@@ -11,6 +11,7 @@
 #include "foxtaillift/jobs/rows.hpp"
 #include "foxtaillift/jobs/store_health.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -22,6 +23,13 @@
 namespace foxtaillift::jobs
 {
 
+struct cancel_options
+{
+    /// Tombstones that a host writes while the leader keeps the older ones;
+    /// beyond them, cancelling an unknown job is refused.
+    std::size_t tombstone_limit = 500;
+};
+
 struct coordinator_options
 {
     std::string host{};
@@ -30,6 +38,7 @@
     std::string nonce{};        ///< unique for this process
     election_options electing{};
     leader_options leading{};
+    cancel_options cancelling{};
 };
 
 using outcome_callback = std::function<void(request_outcome)>;
--- a/libs/jobs/include/foxtaillift/jobs/job_reader.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/job_reader.hpp
@@ -146,7 +146,9 @@
                             rows_result const& result) mutable {
                 if (result.status != store_status::done) {
                     callback(false, std::nullopt);
-                } else if (result.rows.empty()) {
+                } else if (
+                    result.rows.empty() ||
+                    result.rows.front().key != submission_key(job)) {
                     this->read_ended(job, std::move(callback));
                 } else {
                     callback(true, job_state::queued);
@@ -164,6 +166,7 @@
                         callback(false, std::nullopt);
                         return;
                     }
+                    // A tombstone is no state: the job is unknown.
                     std::optional<job_state> state;
                     if (!result.rows.empty()) {
                         state = parse_job_state(result.rows.front().value);
--- a/libs/jobs/include/foxtaillift/jobs/leader.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/leader.hpp
@@ -144,7 +144,8 @@
     }
 
     /// Makes a submission durable and adds its job. The callback comes once,
-    /// with `done`, `not_done` or `unknown`, possibly from within the call.
+    /// with `done`, `not_done`, `unknown` or, for a job that was cancelled
+    /// before, `conflict`, possibly from within the call.
     void submit(submission_batch::submission wanted)
     {
         if (this->decisions.state_of(wanted.job)) {
@@ -307,6 +308,10 @@
             return;
         }
         auto const now = this->ports.now();
+        if (key.is_tombstone) {
+            this->writer->add_tombstone(key.job);
+            return;
+        }
         if (key.is_cancellation) {
             this->decisions.cancel_job(key.job, now);
         } else if (!this->decisions.is_present(key.job)) {
--- a/libs/jobs/include/foxtaillift/jobs/leader_record.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/leader_record.hpp
@@ -8,6 +8,7 @@
 #include "foxtaillift/jobs/worker_record.hpp"
 #include "foxtaillift/jobs/worker_roster.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -16,6 +17,19 @@
 namespace foxtaillift::jobs
 {
 
+/// A job of the table `ended` whose row can go.
+struct forgotten_job
+{
+    /// Entries that the removal adds to a change.
+    [[nodiscard]] std::size_t entries() const
+    {
+        return this->has_tombstone ? 2 : 1;
+    }
+
+    std::string job{};
+    bool has_tombstone = false;
+};
+
 struct leader_record
 {
     std::uint64_t sequence = 0; ///< of writes in this leadership
@@ -23,7 +37,7 @@
     std::vector<roster_page> workers{};    ///< pages that change
     std::optional<std::string> learned{};  ///< see scheduler::learned()
     std::optional<recorded_lease> lease{}; ///< nothing: as recorded before
-    std::vector<std::string> forgotten{};  ///< jobs whose state can go
+    std::vector<forgotten_job> forgotten{};
     std::optional<leadership> successor{}; ///< gives the leadership up
     /// Workers that do not answer; nothing: those named before.
     std::optional<std::vector<closed_worker>> closed{};
--- a/libs/jobs/include/foxtaillift/jobs/operator_interface.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/operator_interface.hpp
@@ -85,6 +85,10 @@
 
     void cancel(std::string const& id, answer_callback answer)
     {
+        if (!is_job_identifier(id)) {
+            answer(make_answer(id, "", request_outcome::unknown_job));
+            return;
+        }
         this->service->cancel(
             id, answer_time,
             [id, answer = std::move(answer)](request_outcome outcome) {
@@ -105,6 +109,10 @@
                 503, "unavailable",
                 "the store answers neither this host nor the leader; nothing "
                 "was changed");
+        case request_outcome::cancelled:
+            return make_refusal(
+                409, "cancelled",
+                "job " + id + " was cancelled before it was accepted");
         case request_outcome::unknown:
             break;
         }
--- a/libs/jobs/include/foxtaillift/jobs/peer_message.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/peer_message.hpp
@@ -21,8 +21,12 @@
     unknown_job,
     refused, ///< certainly without effect
     unknown, ///< may have had or may yet have an effect
+    /// Of a submission: the job was cancelled before, and never runs.
+    cancelled,
 };
 
+std::string_view to_string(request_outcome outcome);
+
 enum class peer_kind
 {
     ping,
--- a/libs/jobs/include/foxtaillift/jobs/record_writer.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/record_writer.hpp
@@ -42,8 +42,9 @@
     /// five rows, the pages of the roster), nine to `ended_in_commit`.
     /// Submissions take up to three quarters of them.
     std::size_t job_rows_in_commit = 80;
-    /// How long the state of a job that is over can be asked for, and how many
-    /// of the older ones one write removes.
+    /// How long the state of a job that is over can be asked for and the
+    /// tombstone of a cancelled one bars its submission, and how many rows of
+    /// the older ones one write removes.
     base::duration ended_kept = base::seconds(150);
     std::size_t ended_in_commit = 9;
 };
@@ -102,12 +103,21 @@
         this->has_inherited = true;
         this->recorded_closed = state.closed;
         for (auto const& [job, final_state] : state.ended) {
-            this->ended.emplace_back(this->ports.now(), job);
+            this->ended.push_back({this->ports.now(), {.job = job}});
         }
     }
 
-    /// The callback comes once, with `done`, `not_done` or `unknown`, possibly
-    /// from within the call.
+    /// Has the tombstone of the job removed in time. Call once for each.
+    void add_tombstone(std::string job)
+    {
+        this->ended.push_back(
+            {this->ports.now(),
+             {.job = std::move(job), .has_tombstone = true}});
+    }
+
+    /// The callback comes once, with `done`, `not_done`, `unknown` or, for a
+    /// job that was cancelled before, `conflict`, possibly from within the
+    /// call.
     void submit(submission_batch::submission wanted)
     {
         // A caller who comes again while the write that holds his job is out
@@ -260,14 +270,7 @@
         if (!is_due) {
             return false;
         }
-        for (auto const& [time, job] : this->ended) {
-            if (this->record.forgotten.size() ==
-                    this->options.ended_in_commit ||
-                now - time <= this->options.ended_kept) {
-                break;
-            }
-            this->record.forgotten.push_back(job);
-        }
+        this->prepare_forgotten(now);
         this->roster.on_record_sent(this->record.workers);
         this->record_successor();
         auto const lease = this->decisions.longest_lease_held(now);
@@ -281,6 +284,19 @@
         return true;
     }
 
+    void prepare_forgotten(base::instant now)
+    {
+        std::size_t entries = 0;
+        for (auto const& [ended_at, forgotten] : this->ended) {
+            entries += forgotten.entries();
+            if (entries > this->options.ended_in_commit ||
+                now - ended_at <= this->options.ended_kept) {
+                return;
+            }
+            this->record.forgotten.push_back(forgotten);
+        }
+    }
+
     void record_successor()
     {
         if (!this->is_resigning) {
@@ -439,7 +455,7 @@
                 static_cast<std::ptrdiff_t>(this->record.forgotten.size()));
         for (auto const& item : this->record.jobs.items) {
             if (item.is_removal) {
-                this->ended.emplace_back(sent_at, item.job);
+                this->ended.push_back({sent_at, {.job = item.job}});
             }
         }
         this->note_named();
@@ -491,7 +507,8 @@
     std::vector<closed_worker> recorded_closed{};
     base::instant closed_recorded_at{-1'000'000};
     base::duration lease_recorded{}; ///< 0: none in this leadership
-    std::deque<std::pair<base::instant, std::string>> ended{}; ///< oldest first
+    /// Jobs of the table `ended`, oldest first.
+    std::deque<std::pair<base::instant, forgotten_job>> ended{};
     base::instant renewed_at; ///< when the last acknowledged write was sent
     base::instant written_at;
     base::instant learned_at;
--- a/libs/jobs/include/foxtaillift/jobs/rows.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/rows.hpp
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -81,6 +82,11 @@
 inline constexpr char ended[] = "ended";       ///< final state, by job
 } // namespace tables
 
+/// In the place of a final state in the table `ended`: the job was cancelled
+/// before it was accepted. Every submission has the condition that the table
+/// has no row of its job, so that no later one is carried out.
+inline constexpr char tombstone_value[] = "tombstone";
+
 namespace lead_keys
 {
 inline constexpr char epoch[] = "epoch"; ///< changes with each takeover
@@ -105,6 +111,8 @@
 /// Keys of the table `jobs`. Identifiers hold no '.'.
 std::string submission_key(std::string_view job);
 std::string cancellation_key(std::string_view job);
+/// Tells the leader of a tombstone, which it removes in time.
+std::string tombstone_key(std::string_view job);
 
 /// The bounds of the keys above: first, and one after the last.
 std::string first_key(std::string_view job);
@@ -115,8 +123,12 @@
 {
     std::string job{};
     bool is_cancellation = false;
+    bool is_tombstone = false;
     bool is_valid = false;
 };
 job_row_key parse_job_key(std::string_view key);
 
+/// Whether the tombstone of the job is among the rows.
+bool has_tombstone(std::span<row const> rows, std::string_view job);
+
 } // namespace foxtaillift::jobs
--- a/libs/jobs/include/foxtaillift/jobs/submission_batch.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/submission_batch.hpp
@@ -55,7 +55,8 @@
     void refuse_waiting();
     /// Rows of the conditions that did not hold; ends the submissions of jobs
     /// that the store has, and keeps the others for the next copy. Returns
-    /// whether there were any.
+    /// whether there were any. Submissions of jobs that were cancelled before
+    /// end with `conflict`.
     bool on_conflict(std::span<row const> current);
 
     /// Ends all: what waits has no effect, `of_taken` is what holds for the
--- a/libs/jobs/include/foxtaillift/jobs/submitter.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/submitter.hpp
@@ -19,7 +19,7 @@
 
 /// The leader writes all that it gets in one change and knows the job at once.
 /// A host that knows no leader writes by itself. A caller is told "refused"
-/// only if the job certainly does not run.
+/// or "cancelled" only if the job certainly does not run.
 template <host_ports Ports>
 class submitter : public std::enable_shared_from_this<submitter<Ports>>
 {
@@ -108,6 +108,10 @@
             this->finish(*request, request_outcome::accepted);
             return;
         }
+        if (status == store_status::conflict) {
+            this->finish(*request, request_outcome::cancelled);
+            return;
+        }
         request->may_have_run |= status == store_status::unknown;
         this->submit_again(request);
     }
@@ -151,8 +155,9 @@
     void on_leader_answer(
         submission_ptr const& request, std::optional<peer_reply> const& reply)
     {
-        if (reply && reply->submission == store_status::done) {
-            this->finish(*request, request_outcome::accepted);
+        if (reply && (reply->submission == store_status::done ||
+                      reply->submission == store_status::conflict)) {
+            this->on_submitted(request, *reply->submission);
             return;
         }
         request->is_sent = false;
@@ -238,11 +243,11 @@
             this->bound([this, request, sent_at = this->host->ports.now()](
                             change_result const& result) {
                 this->host->note_store(result.status, sent_at);
-                // In a conflict the job was accepted before.
+                bool const is_known =
+                    result.status == store_status::conflict &&
+                    !has_tombstone(result.current, request->id);
                 this->on_submitted(
-                    request, result.status == store_status::conflict
-                                 ? store_status::done
-                                 : result.status);
+                    request, is_known ? store_status::done : result.status);
             }));
     }
 
--- a/libs/jobs/src/job_text.cpp
+++ b/libs/jobs/src/job_text.cpp
@@ -149,7 +149,9 @@
     return result;
 }
 
-bool is_identifier(std::string const& text)
+} // namespace
+
+bool is_job_identifier(std::string_view text)
 {
     return !text.empty() && text.size() <= longest_id &&
            std::all_of(text.begin(), text.end(), [](unsigned char c) {
@@ -157,8 +159,6 @@
            });
 }
 
-} // namespace
-
 job_spec decode_job_text(std::string_view text)
 {
     auto const object = parse_text(text);
@@ -177,7 +177,7 @@
             read_step(each, "step " + std::to_string(number++)));
     }
     reader.end();
-    if (!is_identifier(job.id)) {
+    if (!is_job_identifier(job.id)) {
         refuse(
             "the job: \"id\" takes 1 to " + std::to_string(longest_id) +
             " letters, digits and '-'");
--- a/libs/jobs/src/leader_record.cpp
+++ b/libs/jobs/src/leader_record.cpp
@@ -77,8 +77,12 @@
     for (auto const& item : record.jobs.items) {
         add_item(change, item);
     }
-    for (auto const& job : record.forgotten) {
-        change.removals.push_back({.table = tables::ended, .key = job});
+    for (auto const& each : record.forgotten) {
+        change.removals.push_back({.table = tables::ended, .key = each.job});
+        if (each.has_tombstone) {
+            change.removals.push_back(
+                {.table = tables::jobs, .key = tombstone_key(each.job)});
+        }
     }
     return change;
 }
--- a/libs/jobs/src/peer_message.cpp
+++ b/libs/jobs/src/peer_message.cpp
@@ -30,6 +30,23 @@
 
 } // namespace
 
+std::string_view to_string(request_outcome outcome)
+{
+    switch (outcome) {
+    case request_outcome::accepted:
+        return "accepted";
+    case request_outcome::unknown_job:
+        return "unknown_job";
+    case request_outcome::refused:
+        return "refused";
+    case request_outcome::unknown:
+        return "unknown";
+    case request_outcome::cancelled:
+        return "cancelled";
+    }
+    return "unknown";
+}
+
 std::string encode(peer_request const& request)
 {
     json object = {{"k", static_cast<int>(request.kind)}};
--- a/libs/jobs/src/rows.cpp
+++ b/libs/jobs/src/rows.cpp
@@ -1,5 +1,6 @@
 #include "foxtaillift/jobs/rows.hpp"
 
+#include <algorithm>
 #include <charconv>
 
 namespace foxtaillift::jobs
@@ -10,6 +11,7 @@
 
 constexpr std::string_view submission_suffix = ".accepted";
 constexpr std::string_view cancellation_suffix = ".cancelled";
+constexpr std::string_view tombstone_suffix = ".tombstone";
 
 /// Of a page of the roster; bounds memory if another wrote the key.
 constexpr std::size_t page_limit = 1000;
@@ -65,6 +67,11 @@
     return std::string{job}.append(cancellation_suffix);
 }
 
+std::string tombstone_key(std::string_view job)
+{
+    return std::string{job}.append(tombstone_suffix);
+}
+
 std::string first_key(std::string_view job)
 {
     return std::string{job} + ".";
@@ -85,8 +92,18 @@
     return {
         .job = std::string{key.substr(0, dot)},
         .is_cancellation = suffix == cancellation_suffix,
-        .is_valid =
-            suffix == submission_suffix || suffix == cancellation_suffix};
+        .is_tombstone = suffix == tombstone_suffix,
+        .is_valid = suffix == submission_suffix ||
+                    suffix == cancellation_suffix ||
+                    suffix == tombstone_suffix};
+}
+
+bool has_tombstone(std::span<row const> rows, std::string_view job)
+{
+    return std::any_of(rows.begin(), rows.end(), [&](row const& each) {
+        return each.table == tables::ended && each.key == job &&
+               each.value == tombstone_value;
+    });
 }
 
 } // namespace foxtaillift::jobs
--- a/libs/jobs/src/submission_batch.cpp
+++ b/libs/jobs/src/submission_batch.cpp
@@ -109,7 +109,10 @@
         std::make_move_iterator(this->taken.end())};
     this->taken.erase(first, this->taken.end());
     for (auto const& each : known) {
-        each.callback(store_status::done); // accepted before
+        each.callback(
+            has_tombstone(current, each.job)
+                ? store_status::conflict
+                : store_status::done); // accepted before
     }
     return !known.empty();
 }
--- a/libs/jobs/tests/job_test.cpp
+++ b/libs/jobs/tests/job_test.cpp
@@ -165,5 +165,7 @@
     CHECK_FALSE(parse_job_key(".accepted").is_valid);
     CHECK(parse_job_key(submission_key("ab")).job == "ab");
     CHECK(parse_job_key(cancellation_key("ab")).is_cancellation);
+    CHECK(parse_job_key(tombstone_key("ab")).is_tombstone);
+    CHECK_FALSE(parse_job_key(tombstone_key("ab")).is_cancellation);
     CHECK(decode_workers("w1 1.2.3.4:5 s\nbroken\n").size() == 1);
 }
--- a/libs/jobs/tests/simulated_world.cpp
+++ b/libs/jobs/tests/simulated_world.cpp
@@ -432,6 +432,11 @@
         id, base::seconds(3), [this, id](request_outcome outcome) {
             if (outcome == request_outcome::accepted) {
                 this->cancelled.emplace(id, this->time.now);
+            } else if (outcome == request_outcome::unknown_job) {
+                this->cancelled.emplace(id, this->time.now);
+                this->unknown.insert(id);
+            } else if (outcome == request_outcome::refused) {
+                ++this->refused_cancellations;
             }
         });
 }
@@ -503,16 +508,21 @@
     }
     this->needs[job.id] = job.steps.front().need;
     this->submitted_at[job.id] = this->time.now;
+    this->refused.erase(job.id);
+    ++this->not_refused[job.id];
     this->hosts[host]->service->submit(
         job, base::seconds(3),
         [this, id = job.id,
          asked_at = this->time.now](request_outcome outcome) {
             if (outcome == request_outcome::accepted) {
                 this->accepted.insert(id);
-            } else if (outcome == request_outcome::refused) {
-                this->refused.insert(id);
+            } else if (outcome != request_outcome::unknown) {
                 this->longest_refusal =
                     std::max(this->longest_refusal, this->time.now - asked_at);
+                if (--this->not_refused[id] > 0) {
+                    return;
+                }
+                this->refused.insert(id);
                 if (this->started.contains(id)) {
                     this->violations.push_back(id + " runs and was refused");
                 }
@@ -647,6 +657,9 @@
         this->time.now - given_up->second > longest_until_cancelled) {
         this->violations.push_back(text + " starts after its cancellation");
     }
+    if (this->unknown.contains(order.run.task.job)) {
+        this->violations.push_back(text + " starts and was said not to exist");
+    }
     if (this->noted.contains(order.run.task)) {
         this->violations.push_back(text + " starts after its end was noted");
     }
@@ -679,6 +692,19 @@
     this->time.run_until(this->time.now + span);
 }
 
+std::vector<std::string> simulated_world::running_cancelled() const
+{
+    std::vector<std::string> result;
+    for (auto const& worker : this->workers) {
+        for (auto const& [task, run] : worker.runs) {
+            if (this->cancelled.contains(task.job)) {
+                result.push_back(to_string(task));
+            }
+        }
+    }
+    return result;
+}
+
 std::vector<std::string> simulated_world::unfinished() const
 {
     std::vector<std::string> result;
--- a/libs/jobs/tests/simulated_world.hpp
+++ b/libs/jobs/tests/simulated_world.hpp
@@ -251,7 +251,8 @@
     void run_for(base::duration span);
     /// All hosts learn of a configuration that gives the queue this name.
     void rename_queue(std::string const& name);
-    /// Through this host; `cancelled` tells whether it was confirmed.
+    /// Through this host; `cancelled` tells whether the caller heard that the
+    /// job is cancelled or does not exist, and may expect that nothing runs.
     void cancel(std::size_t host, std::string const& id);
     /// Lists the worker so; each host learns of it some time later.
     void set_draining(std::size_t worker, bool is_draining);
@@ -269,6 +270,8 @@
     /// Ends all that runs there; the next life knows nothing of before.
     void restart_worker(std::size_t worker);
 
+    /// Tasks that run though their job was cancelled.
+    [[nodiscard]] std::vector<std::string> running_cancelled() const;
     /// Jobs that were accepted and are not completed.
     [[nodiscard]] std::vector<std::string> unfinished() const;
 
@@ -284,12 +287,14 @@
     std::map<std::size_t, std::int64_t> sizes{}; ///< of hosts, if unusual
     std::vector<std::string> violations{};
     std::set<std::string> accepted{};
-    std::set<std::string> refused{};  ///< told that the job never runs
+    std::set<std::string> refused{};  ///< by each request that held the job
     std::size_t unknown_outcomes = 0; ///< of submissions
     std::map<std::string, base::instant> submitted_at{};
     std::map<std::string, base::instant> started_at{}; ///< the first task
     base::duration longest_refusal{}; ///< until a caller was told
     std::map<std::string, base::instant> cancelled{}; ///< when confirmed
+    std::set<std::string> unknown{}; ///< cancelled, and said not to exist
+    std::size_t refused_cancellations = 0;
     /// What changed outside the hosts: rows, runs started and stopped, ends
     /// acknowledged.
     std::size_t effects = 0;
@@ -352,7 +357,9 @@
 
     simulated_fleet fleet;
     std::set<std::string> started{}; ///< jobs
-    std::set<task_name> noted{};     ///< done, and acknowledged by a leader
+    /// Requests that hold a job and were not refused, by job.
+    std::map<std::string, std::size_t> not_refused{};
+    std::set<task_name> noted{}; ///< done, and acknowledged by a leader
     /// Done by a listed end of a worker, and started again; it must not be
     /// acknowledged any more.
     std::set<std::pair<std::string, std::int64_t>> repeated{};
--- a/libs/jobs/tests/submission_batch_test.cpp
+++ b/libs/jobs/tests/submission_batch_test.cpp
@@ -75,6 +75,23 @@
     CHECK(test.batch.on_done().front().first == "new");
 }
 
+// Guards against "accepted" for a job that was cancelled before and never runs.
+TEST_CASE("a job with a tombstone ends its submission as a conflict")
+{
+    fixture test;
+    test.add("new");
+    test.add("barred");
+    test.batch.take(20);
+    std::vector<row> const current{
+        {.table = tables::ended,
+         .key = "barred",
+         .value = tombstone_value,
+         .version = 4}};
+    CHECK(test.batch.on_conflict(current));
+    CHECK(test.answers.find("barred")->second == store_status::conflict);
+    CHECK(test.batch.on_done().front().first == "new");
+}
+
 // Guards against "not accepted" for a submission whose write may yet be carried
 // out, and against callers who wait for one that certainly was not.
 TEST_CASE("the end of a leadership tells what is certain")
