End the tries of a submission at its deadline on a host that was suspended

A job that was given up could start long after its caller was told that it does not exist: when a suspended host goes on, its timers are all overdue, and the next try of a submission ran before the deadline's answer. After the tombstone of the job is gone (150 s), that write was accepted.

Change: no try begins once the deadline is over; the timer of the deadline answers.

Test: the simulation can suspend a host.

--- a/libs/jobs/include/foxtaillift/jobs/submitter.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/submitter.hpp
@@ -73,8 +73,18 @@
         };
     }
 
+    /// The timer of the deadline answers. A host that was suspended may find it
+    /// overdue, and must not write a job that was given up long ago.
+    [[nodiscard]] bool is_late(submission const& request) const
+    {
+        return this->host->ports.now() >= request.give_up_at;
+    }
+
     void try_submit(submission_ptr const& request)
     {
+        if (this->is_late(*request)) {
+            return;
+        }
         if (this->host->is_leading()) {
             this->submit_here(request);
         } else if (
@@ -229,6 +239,9 @@
 
     void submit_to_store(submission_ptr const& request)
     {
+        if (this->is_late(*request)) {
+            return;
+        }
         request->is_sent = true;
         row_change change;
         change.conditions = {
--- a/libs/jobs/tests/cancellation_test.cpp
+++ b/libs/jobs/tests/cancellation_test.cpp
@@ -62,6 +62,29 @@
     check_nothing_runs(world);
 }
 
+/// A host that reaches nothing is suspended this long after it was handed a
+/// job, until long after the job's tombstone is gone.
+void play_suspension(base::duration until_suspended)
+{
+    CAPTURE(until_suspended.ms);
+    constexpr base::duration suspended = base::seconds(10);
+    leader_options leading;
+    leading.recording.ended_kept = base::seconds(1);
+    simulated_world world{3, {}, leading};
+    world.run_for(base::seconds(3));
+    world.cut.insert(2);
+    hand_in(world, 2, "j");
+    world.run_for(until_suspended);
+    world.hosts[2]->suspended_until = world.time.now + suspended;
+    world.cut.clear();
+    world.cancel(1, "j");
+    world.run_for(suspended - base::seconds(1));
+    REQUIRE(world.cancelled.contains("j")); // not unknown, if it was on its way
+    REQUIRE_FALSE(world.store.rows.contains({tables::ended, "j"}));
+    world.run_for(base::seconds(10));
+    check_nothing_runs(world);
+}
+
 /// Callers come and go beside failures of everything for 30 s, then calm.
 void play_failures(std::uint32_t seed)
 {
@@ -91,6 +114,9 @@
             world.time.at(
                 world.time.now + some_time(longest_outage_ms),
                 [&world, host] { world.without_store.erase(host); });
+        } else if (chance == 3 && world.hosts[host]) {
+            world.hosts[host]->suspended_until =
+                world.time.now + some_time(longest_outage_ms);
         } else if (chance == 2 && world.hosts[host]) {
             world.kill_host(host);
             world.time.at(
@@ -184,6 +210,15 @@
     }
 }
 
+// Guards against a host that was suspended and goes on with a submission that
+// was given up, when the tombstone of its job is gone.
+TEST_CASE("a host that was suspended does not send a submission again")
+{
+    for (std::int64_t ms = 100; ms < 3000; ms += 50) {
+        play_suspension(base::milliseconds(ms));
+    }
+}
+
 // Guards against rows that stay for good, and against callers who can make
 // them without bound.
 TEST_CASE("tombstones are bounded and go in time, under a new leader as well")
--- a/libs/jobs/tests/simulated_ports.cpp
+++ b/libs/jobs/tests/simulated_ports.cpp
@@ -69,7 +69,9 @@
 {
     this->world.time.at(
         this->now() + delay, [this, callback = std::move(callback)] {
-            if (this->is_alive) {
+            if (this->now() < this->suspended_until) {
+                this->later(this->suspended_until - this->now(), callback);
+            } else if (this->is_alive) {
                 callback();
             }
         });
--- a/libs/jobs/tests/simulated_world.hpp
+++ b/libs/jobs/tests/simulated_world.hpp
@@ -195,6 +195,8 @@
     void follow_workers(bool is_wanted);
 
     bool is_alive = true;
+    /// Until then the process does nothing; what was due follows in its order.
+    base::instant suspended_until{};
     std::function<void(worker_info const&)> on_worker{};
     std::function<void(std::string const&)> on_worker_gone{};
 
