Judge starts after a cancellation by hosts in touch in the simulation

Its trace: the leader is suspended from 1,021.0 to 1,023.1 s of virtual time while its write that holds j60 is out; another host confirms the cancellation at 1,021.8 s; the store is silent from 1,022.3 s; the leader hears that its write was carried out at 1,024.9 s, starts the job 6 ms later, and reads the cancellation right after that. It went on 1.8 s before, and the rule speaks of machines that ran for `contact-ms` (3 s) without a freeze.

Change: that one check is left out for 3 s after a suspension, which no earlier test has. A job that was said not to exist must not start at any time, as before. Starting the job only from the feed would keep this start away, too, but delays all jobs that are accepted as a silent store comes back, by up to 2 s.

--- a/libs/jobs/tests/simulated_world.hpp
+++ b/libs/jobs/tests/simulated_world.hpp
@@ -325,6 +325,9 @@
     [[nodiscard]] bool is_among(
         std::set<std::size_t> const& indices, std::string const& host) const;
     [[nodiscard]] bool is_cut(std::string const& host) const;
+    /// No host was suspended lately: one that goes on reads what has changed
+    /// meanwhile some time after the answers that it was waiting for.
+    [[nodiscard]] bool is_in_touch() const;
     [[nodiscard]] bool is_store_silent_for(std::string const& host) const;
     void end_run(
         simulated_worker& worker, task_name const& task, run_outcome outcome);
