Tell followers of rows that change while a table is read in their order

A leader that takes over reads the submissions page by page. A job that is accepted and cancelled between two pages, with its submission on the first one, showed its cancellation alone; the leader passed that over as of no job, then read the submission from the changes and ran the job for good, though its caller was told that it is cancelled.

Change: rows with a newer version than the first page are left to the changes that are read next from that version on, which have them all in order. It costs no call.

Test: "rows that change while a table is read are told in their order" failed before (the cancellation came before the submission).

--- a/libs/jobs/include/foxtaillift/jobs/row_follower.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/row_follower.hpp
@@ -32,8 +32,9 @@
 };
 
 /// Reports each row once for each version, in order, and never an older version
-/// of a row after a newer one: a store that lags answers with old rows. A row
-/// at which the handler throws is logged and counts as reported.
+/// of a row after a newer one: a store that lags answers with old rows. The
+/// first rows are those of one moment, by their keys. A row at which the
+/// handler throws is logged and counts as reported.
 ///
 /// `Ports` is described in coordinator.hpp. The object must outlive no
 /// callback: stop() makes all later answers void.
@@ -121,7 +122,12 @@
             }
         }
         for (auto const& [key, row] : this->found) {
-            this->report(row);
+            // A row that has changed since the first page may rest on a change
+            // to an earlier page. The changes that are read next have both, in
+            // order.
+            if (row.version <= this->snapshot_version) {
+                this->report(row);
+            }
         }
         this->found.clear();
         this->version = std::max(this->version, this->snapshot_version);
--- a/libs/jobs/tests/row_follower_test.cpp
+++ b/libs/jobs/tests/row_follower_test.cpp
@@ -116,6 +116,54 @@
 
 } // namespace
 
+/// A table of two pages in which a job is accepted and cancelled between their
+/// readings; the row of the submission sorts on the first one.
+class paged_table
+{
+public:
+    [[nodiscard]] base::instant now() const { return this->time; }
+    void after(base::duration, std::function<void()> const&) {}
+    void log(base::event_line const&) {}
+
+    void read(
+        std::string const&,
+        std::string const& from,
+        std::string const&,
+        std::function<void(rows_result)> const& callback)
+    {
+        bool const is_first = from.empty();
+        callback(
+            {.status = store_status::done,
+             .rows =
+                 {is_first ? row{.key = "a", .version = 3}
+                           : row{.key = cancellation_key("j"), .version = 12}},
+             .has_more = is_first,
+             .version = is_first ? 9 : 14});
+    }
+
+    void watch(
+        std::string const&,
+        std::int64_t since,
+        base::duration,
+        std::function<void(rows_result)> const& callback)
+    {
+        if (std::exchange(this->is_watched, true)) {
+            return;
+        }
+        CHECK(since == 9);
+        callback(
+            {.status = store_status::done,
+             .rows =
+                 {{.key = submission_key("j"), .version = 11},
+                  {.key = cancellation_key("j"), .version = 12}},
+             .version = 14});
+    }
+
+private:
+    base::instant time{1000};
+    bool is_watched = false;
+};
+
 // The rows of 350 workers change some 200 times a second. Without a pause each
 // change costs a priced call to the store.
 TEST_CASE("a follower with a pause gathers frequent changes")
@@ -175,3 +223,19 @@
     follower->stop();
     table.run_for(base::seconds(2));
 }
+
+// Guards against a cancellation that a leader hears of before the submission
+// and passes over: the job runs on though its caller was told otherwise.
+TEST_CASE("rows that change while a table is read are told in their order")
+{
+    paged_table table;
+    std::vector<std::string> told;
+    auto const follower = std::make_shared<row_follower<paged_table>>(
+        table, row_follower_options{.table = tables::jobs},
+        [&](row const& row) { told.push_back(row.key); });
+    follower->start();
+    CHECK(
+        told == std::vector<std::string>{
+                    "a", submission_key("j"), cancellation_key("j")});
+    follower->stop();
+}
