Trust a kept connection only for what it told within the last 400 ms

Cause: a request that runs out of time closes the idle connections of its time, but left those that had told something since it was written. Ruled out: the store (it answers new connections at once), and the other hosts (the one that leads calls more often and has the configuration in time).

Change: such a request closes all idle connections to its address that were not heard within the last 400 ms, whatever was heard before and whether or not another one answers; a silence in the middle of an answer counts as one. The requests that follow each other lose at most one time-out and 400 ms to a silence, for any number of connections and any order.

--- a/libs/transport/include/foxtaillift/transport/http_client_pool.hpp
+++ b/libs/transport/include/foxtaillift/transport/http_client_pool.hpp
@@ -49,10 +49,14 @@
 /// goes to a new connection. Once a byte was accepted, a close without an
 /// answer is `sent_unknown`: TCP cannot tell whether the server had read it.
 ///
-/// Connections can go silent together, without a reset. So a request whose time
-/// runs out before a byte of its answer came closes the idle connections to its
-/// address that have told nothing since it was written, unless another one that
-/// was open then has answered within the last 400 ms.
+/// Connections can go silent, together or one after the other, without a reset,
+/// also in the middle of an answer; that a connection has answered says nothing
+/// of later. So a request whose time runs out while its connection tells
+/// nothing closes the idle connections to its address that have told nothing
+/// within the last 400 ms. Of a request with a shorter time-out, those that
+/// have told nothing since it was written close as well, unless another one
+/// that was open then has. A silence thus costs the requests that follow each
+/// other at most one time-out, and 400 ms.
 ///
 /// An answer counts only if its whole body arrived. Without Content-Length or
 /// chunked coding the end of a body is not certain, so such an answer is
--- a/libs/transport/src/pool_connection.cpp
+++ b/libs/transport/src/pool_connection.cpp
@@ -6,6 +6,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 
@@ -17,6 +18,10 @@
 
 constexpr std::size_t read_size = 16UL * 1024;
 
+/// A cut that silenced a request is older than its time-out by more than this:
+/// callers wait at least so long for an answer that is due.
+constexpr base::duration answered_lately = base::milliseconds(400);
+
 } // namespace
 
 pool_connection::pool_connection(std::shared_ptr<pool_group> owner)
@@ -274,9 +279,14 @@
     }
 }
 
+std::chrono::steady_clock::time_point pool_connection::recent()
+{
+    return std::chrono::steady_clock::now() - answered_lately.to_chrono();
+}
+
 void pool_connection::report_silence()
 {
-    if (this->is_connected && this->heard < this->written) {
+    if (this->is_connected && this->heard < std::max(this->written, recent())) {
         this->group->on_silence(this->written);
     }
 }
--- a/libs/transport/src/pool_connection.hpp
+++ b/libs/transport/src/pool_connection.hpp
@@ -43,6 +43,9 @@
         return this->heard;
     }
 
+    /// A connection that was heard before then may have gone silent since.
+    static std::chrono::steady_clock::time_point recent();
+
     /// Ends the request in progress, if any, and closes.
     void fail(failure_reason reason, std::string message);
 
@@ -57,7 +60,8 @@
     void on_read(error_code failure, std::size_t bytes);
     void on_answer();
     void conclude();
-    /// Nothing came for the request in progress, so that its path may be dead.
+    /// The request in progress failed: tells the group if nothing came for it
+    /// lately, so that its path may be dead.
     void report_silence();
     void wait_idle();
     void arm(base::duration limit, void (pool_connection::*action)());
--- a/libs/transport/src/pool_group.cpp
+++ b/libs/transport/src/pool_group.cpp
@@ -5,15 +5,6 @@
 namespace foxtaillift::transport
 {
 
-namespace
-{
-
-/// A cut that silenced a request is older than its time-out by more than this:
-/// callers wait at least so long for an answer that is due.
-constexpr base::duration answered_lately = base::milliseconds(400);
-
-} // namespace
-
 pool_core::pool_core(
     net::io_context& context, http_client_pool_options pool_options)
     : io(context)
@@ -147,19 +138,21 @@
 
 void pool_group::on_silence(std::chrono::steady_clock::time_point written)
 {
-    auto const recent =
-        std::chrono::steady_clock::now() - answered_lately.to_chrono();
-    for (auto const& [key, entry] : this->open) {
-        auto const connection = entry.lock();
-        if (connection && connection->opened_at() < written &&
-            connection->heard_at() > std::max(written, recent)) {
-            return; // one answer is lost, not the path
-        }
-    }
+    auto const recent = pool_connection::recent();
+    auto const since = std::max(written, recent);
+    bool const is_path_open = std::any_of(
+        this->open.begin(), this->open.end(), [&](auto const& entry) {
+            auto const connection = entry.second.lock();
+            return connection && connection->opened_at() < written &&
+                   connection->heard_at() > since;
+        });
+    // One answer is lost, not the path, if the path is open. Even then, any
+    // other connection may have gone silent after it was last heard.
+    auto const trusted_since = is_path_open ? recent : since;
     auto const candidates = this->idle; // close() removes from `idle`
     for (auto const& entry : candidates) {
         auto const connection = entry.lock();
-        if (connection && connection->heard_at() < written) {
+        if (connection && connection->heard_at() <= trusted_since) {
             ++this->core->counters.stale;
             connection->close();
         }
--- a/libs/transport/src/pool_group.hpp
+++ b/libs/transport/src/pool_group.hpp
@@ -66,9 +66,9 @@
     void stop();
 
     /// A request that was written then had no answer in its time. Closes the
-    /// idle connections that have told nothing since, as a cut may have
-    /// silenced them too, unless another connection of that time has answered
-    /// lately.
+    /// idle connections that have told nothing lately, as a cut may have
+    /// silenced them too; and those that have told nothing since, unless
+    /// another connection of that time has.
     void on_silence(std::chrono::steady_clock::time_point written);
 
     void on_idle(std::shared_ptr<pool_connection> const& connection);
--- a/libs/transport/tests/http_client_pool_test.cpp
+++ b/libs/transport/tests/http_client_pool_test.cpp
@@ -336,6 +336,115 @@
     threads.stop();
 }
 
+/// Opens this many connections to the server behind the relay, one after the
+/// other, and lets them fall idle in this order: the last one is used next.
+void open_idle(
+    http_client_pool& pool,
+    std::uint16_t port,
+    inbox& requests,
+    std::size_t count)
+{
+    std::vector<exchange_receiver> answers(count);
+    for (std::size_t i = 0; i < count; ++i) {
+        pool.send(
+            local_address(port), {}, base::seconds(20), answers[i].callback());
+        REQUIRE(requests.wait_for(i + 1));
+    }
+    for (std::size_t i = 0; i < count; ++i) {
+        requests.reply(i).send({});
+        CHECK(answers[i].get().outcome == delivery::answered);
+    }
+}
+
+// The pattern: a long poll is out, a connection beside it is used, and then all
+// go silent (review/10: hosts refused a new queue for 4.9 s). Guards against
+// trust in a connection for an answer from before the silence.
+TEST_CASE("a connection used beside a long request is not trusted after it")
+{
+    runner threads;
+    inbox requests;
+    http_server server{threads.io, {}, requests.handler()};
+    relay between{threads.io, server.port()};
+    http_client_pool pool{threads.io, {.connections_per_address = 8}};
+    open_idle(pool, between.port(), requests, 3);
+    exchange_receiver poll, beside;
+    auto const address = local_address(between.port());
+    pool.send(address, {}, base::milliseconds(1200), poll.callback());
+    REQUIRE(requests.wait_for(4));
+    pool.send(address, {}, base::seconds(20), beside.callback());
+    REQUIRE(requests.wait_for(5));
+    requests.reply(4).send({});
+    CHECK(beside.get().outcome == delivery::answered);
+    between.silence_open();
+    CHECK(poll.get().reason == failure_reason::deadline);
+    exchange_receiver next;
+    pool.send(address, {}, base::seconds(2), next.callback());
+    REQUIRE(requests.wait_for(6));
+    requests.reply(5).send({.body = "new"});
+    CHECK(next.get().answer.body == "new");
+    threads.stop();
+}
+
+// The same where only some connections have gone silent. Guards against a
+// sound connection that vouches for the others.
+TEST_CASE("a sound connection does not vouch for silent ones")
+{
+    runner threads;
+    inbox requests;
+    http_server server{threads.io, {}, requests.handler()};
+    relay between{threads.io, server.port()};
+    http_client_pool pool{threads.io, {.connections_per_address = 8}};
+    open_idle(pool, between.port(), requests, 3);
+    exchange_receiver poll, sound, first, second;
+    auto const address = local_address(between.port());
+    pool.send(address, {}, base::milliseconds(1200), poll.callback());
+    REQUIRE(requests.wait_for(4));
+    pool.send(address, {}, base::seconds(20), sound.callback());
+    REQUIRE(requests.wait_for(5));
+    between.silence({0, 2}); // the idle one and that of the poll
+    std::this_thread::sleep_for(std::chrono::milliseconds(1000));
+    requests.reply(4).send({});
+    CHECK(sound.get().outcome == delivery::answered);
+    CHECK(poll.get().reason == failure_reason::deadline);
+    pool.send(address, {}, base::seconds(20), first.callback());
+    REQUIRE(requests.wait_for(6));
+    pool.send(address, {}, base::seconds(2), second.callback());
+    REQUIRE(requests.wait_for(7));
+    requests.reply(5).send({});
+    requests.reply(6).send({.body = "new"});
+    CHECK(first.get().outcome == delivery::answered);
+    CHECK(second.get().answer.body == "new");
+    threads.stop();
+}
+
+// Guards against a silence that counts as none because a part of the answer
+// came before it.
+TEST_CASE("a silence in the middle of an answer is one")
+{
+    runner threads;
+    inbox requests;
+    http_server server{threads.io, {}, requests.handler()};
+    relay between{threads.io, server.port()};
+    http_client_pool pool{threads.io, {.connections_per_address = 8}};
+    open_idle(pool, between.port(), requests, 2);
+    between.set_bytes_per_ms(16);
+    exchange_receiver cut;
+    auto const address = local_address(between.port());
+    pool.send(address, {}, base::milliseconds(1500), cut.callback());
+    REQUIRE(requests.wait_for(3));
+    requests.reply(2).send({.body = std::string(256UL * 1024, 'x')});
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    between.silence_open();
+    between.set_bytes_per_ms(0);
+    CHECK(cut.get().reason == failure_reason::deadline);
+    exchange_receiver next;
+    pool.send(address, {}, base::seconds(2), next.callback());
+    REQUIRE(requests.wait_for(4));
+    requests.reply(3).send({.body = "new"});
+    CHECK(next.get().answer.body == "new");
+    threads.stop();
+}
+
 // The pattern: orders to workers whose answers are lost or come seconds later
 // (applied_late). Guards against new connections in place of sound ones.
 TEST_CASE("idle connections are kept beside a lost answer while others answer")
--- a/libs/transport/tests/relay.hpp
+++ b/libs/transport/tests/relay.hpp
@@ -46,6 +46,18 @@
         });
         done.get_future().wait();
     }
+    /// The same on single ones, by the order in which they were opened.
+    void silence(std::vector<std::size_t> const& numbers)
+    {
+        std::promise<void> done;
+        net::post(this->strand, [&] {
+            for (auto const each : numbers) {
+                this->pairs.at(each)->is_silent = true;
+            }
+            done.set_value();
+        });
+        done.get_future().wait();
+    }
     /// Forwards at most this much a millisecond and connection; 0: no bound.
     void set_bytes_per_ms(std::size_t value) { this->rate = value; }
     /// Closes the connections that are open now.
