Let a follower ask again at once after a request ran out of time

After a silence of connections a host learned of a configuration 0.2 to 1 s later than it could: a pause followed the request that had run out of time after 2.2 s, as it follows one that the store refuses at once.

Change: the pause counts from when the failed request was sent. A store that refuses at once is asked as seldom as before.

Tests: "a follower asks again at once after a request ran out of time" failed before (three requests in 10 s, not four or more); "a follower asks a store that refuses it less and less often" guards the calls, which are priced.

--- a/libs/jobs/include/foxtaillift/jobs/row_follower.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/row_follower.hpp
@@ -27,6 +27,8 @@
     /// Before changes are asked for again after some have come. Each call has a
     /// price, so rows that change often are followed with a pause.
     base::duration pause{};
+    /// From a request that failed until the next one is sent, growing with
+    /// each failure in a row.
     base::duration retry = base::milliseconds(200);
     base::duration longest_retry = base::milliseconds(1000);
 };
@@ -74,6 +76,7 @@
 
     void read_from(std::string const& from)
     {
+        this->asked = this->ports.now();
         auto self = this->shared_from_this();
         this->ports.read(
             this->options.table, from, "",
@@ -143,6 +146,7 @@
         if (this->is_stopped) {
             return;
         }
+        this->asked = this->ports.now();
         auto self = this->shared_from_this();
         this->ports.watch(
             this->options.table, this->version, this->options.wait,
@@ -207,10 +211,11 @@
     void again(Function next)
     {
         ++this->failures;
-        auto const delay = std::min(
+        auto const gap = std::min(
             this->options.longest_retry, this->options.retry * this->failures);
+        auto const delay = this->asked + gap - this->ports.now();
         auto self = this->shared_from_this();
-        this->ports.after(delay, [self, next] {
+        this->ports.after(std::max(base::duration{}, delay), [self, next] {
             if (!self->is_stopped) {
                 next();
             }
@@ -226,7 +231,8 @@
     std::int64_t version = 0;
     std::int64_t snapshot_version = 0;
     base::instant answered{-1'000'000};
-    int failures = 0; ///< in a row
+    base::instant asked{}; ///< when the last request was sent
+    int failures = 0;      ///< in a row
     bool was_read = false;
     bool is_stopped = false;
 };
--- a/libs/jobs/tests/row_follower_test.cpp
+++ b/libs/jobs/tests/row_follower_test.cpp
@@ -164,6 +164,47 @@
     bool is_watched = false;
 };
 
+/// A store whose answers to requests for changes fail after some time.
+class failing_table : public busy_table
+{
+public:
+    explicit failing_table(base::duration time_until_failure)
+        : busy_table(base::milliseconds(100))
+        , until_failure(time_until_failure)
+    {}
+
+    void watch(
+        std::string const&,
+        std::int64_t,
+        base::duration,
+        std::function<void(rows_result)> const& callback)
+    {
+        this->watched_at.push_back(this->now());
+        this->after(this->until_failure, [callback] { callback({}); });
+    }
+
+    std::vector<base::instant> watched_at{};
+
+private:
+    base::duration until_failure;
+};
+
+/// The times from one request for changes to the next.
+std::vector<std::int64_t> gaps_after(base::duration until_failure)
+{
+    failing_table table{until_failure};
+    auto const follower = std::make_shared<row_follower<failing_table>>(
+        table, row_follower_options{.table = "op"}, [](row const&) {});
+    follower->start();
+    table.run_for(base::seconds(10));
+    follower->stop();
+    std::vector<std::int64_t> gaps;
+    for (std::size_t i = 1; i < table.watched_at.size(); ++i) {
+        gaps.push_back((table.watched_at[i] - table.watched_at[i - 1]).ms);
+    }
+    return gaps;
+}
+
 // The rows of 350 workers change some 200 times a second. Without a pause each
 // change costs a priced call to the store.
 TEST_CASE("a follower with a pause gathers frequent changes")
@@ -239,3 +280,25 @@
                     "a", submission_key("j"), cancellation_key("j")});
     follower->stop();
 }
+
+// The pattern: connections go silent, and a request for changes runs out of
+// time after 2.2 s (review/10). Guards against a pause after it that makes a
+// host learn of a configuration later.
+TEST_CASE("a follower asks again at once after a request ran out of time")
+{
+    auto const silent = gaps_after(base::milliseconds(2200));
+    REQUIRE(silent.size() >= 4);
+    for (auto const gap : silent) {
+        CHECK(gap == 2200);
+    }
+}
+
+// Guards against priced calls to a store that refuses them at once.
+TEST_CASE("a follower asks a store that refuses it less and less often")
+{
+    auto const refused = gaps_after(base::milliseconds(4));
+    REQUIRE(refused.size() >= 8);
+    CHECK(refused[0] == 200);
+    CHECK(refused[1] == 400);
+    CHECK(refused.back() == 1000);
+}
