Count the leases of an earlier leader from its last write

Cause: a successor counted the leases of earlier leaders from its own takeover, and took the recorded age of a lease as its age then, though nobody had led for 4 s.

Change: ages count from the earlier leader's last write, whose age the store's clock tells. A leader that resigns writes within which time all leases end, its own and those of leaders before it, and nothing if one of these may still grant; the successor counts that from the resignation and needs no majority for it.

Tests: "leases of a leader that resigned are counted from its resignation" fails without the use of the resignation.

--- a/libs/jobs/include/foxtaillift/jobs/candidate.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/candidate.hpp
@@ -315,6 +315,7 @@
         auto const& known = *this->host->voting.known();
         auto const& options = this->host->options;
         lead_rows next;
+        next.beat_age = known.beat_age;
         next.current = {
             .token = known.current.token + 1,
             .host = options.host,
--- a/libs/jobs/include/foxtaillift/jobs/leader.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/leader.hpp
@@ -62,6 +62,8 @@
         : ports(ports_to_use)
         , options(std::move(settings))
         , lost(std::move(on_lost))
+        , earlier_beat_age(rows.beat_age)
+        , taken_over_at(this->ports.now())
         , decisions(this->options.scheduling)
         , writer(std::make_shared<record_writer<Ports>>(
               ports_to_use,
@@ -237,8 +239,12 @@
         if (state.lease &&
             state.lease->token + 1 == this->rows().current.token) {
             this->decisions.take_longest_lease(state.lease->longest);
+            if (state.lease->left) {
+                this->decisions.take_resignation(
+                    now - this->record_age(), *state.lease->left);
+            }
         }
-        this->decisions.take_closed(state.closed, now);
+        this->decisions.take_closed(state.closed, now, this->record_age());
         for (auto const& [job, ended] : state.ended) {
             this->decisions.add_ended(job, ended);
         }
@@ -247,6 +253,20 @@
         this->follow_jobs();
     }
 
+    /// The earlier leader wrote last at least this long ago. What it told of
+    /// the store's time may be older by as long as the store takes to answer.
+    [[nodiscard]] base::duration record_age() const
+    {
+        constexpr base::duration longest_answer = base::milliseconds(1000);
+        auto const age_at_takeover =
+            this->earlier_beat_age
+                ? std::max(
+                      base::duration{},
+                      *this->earlier_beat_age - longest_answer)
+                : base::duration{};
+        return age_at_takeover + (this->ports.now() - this->taken_over_at);
+    }
+
     void recall(roster_page const& page, base::instant now)
     {
         this->roster.recall(page);
@@ -447,6 +467,9 @@
     Ports& ports;
     leader_options options;
     lost_callback lost;
+    /// Of the earlier leader's last write, at the takeover.
+    std::optional<base::duration> earlier_beat_age;
+    base::instant taken_over_at;
     scheduler decisions;
     worker_roster roster{};
     std::shared_ptr<record_writer<Ports>> writer;
--- a/libs/jobs/include/foxtaillift/jobs/record_writer.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/record_writer.hpp
@@ -273,10 +273,7 @@
         this->prepare_forgotten(now);
         this->roster.on_record_sent(this->record.workers);
         this->record_successor();
-        auto const lease = this->decisions.longest_lease_held(now);
-        if (lease != this->lease_recorded) {
-            this->record.lease = {this->lead.current.token, lease};
-        }
+        this->prepare_lease(now);
         if (this->is_resigning ||
             now - this->learned_at >= this->options.learned_interval) {
             this->record.learned = this->decisions.learned();
@@ -284,6 +281,19 @@
         return true;
     }
 
+    void prepare_lease(base::instant now)
+    {
+        auto const longest = this->decisions.longest_lease_held(now);
+        if (longest == this->lease_recorded && !this->is_resigning) {
+            return;
+        }
+        this->record.lease = {
+            .token = this->lead.current.token, .longest = longest};
+        if (this->is_resigning) { // and grants no leases any more
+            this->record.lease->left = this->decisions.leases_left(now);
+        }
+    }
+
     void prepare_forgotten(base::instant now)
     {
         std::size_t entries = 0;
--- a/libs/jobs/include/foxtaillift/jobs/scheduler.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/scheduler.hpp
@@ -125,12 +125,20 @@
     /// A record is durable. Workers that it leaves out and that answer get
     /// tasks again.
     void on_closed_recorded(std::span<closed_worker const> record);
-    /// What an earlier leader recorded last, once its workers were recalled.
-    void take_closed(std::span<closed_worker const> record, base::instant now);
+    /// What an earlier leader recorded last, at least `age` ago, once its
+    /// workers were recalled.
+    void take_closed(
+        std::span<closed_worker const> record,
+        base::instant now,
+        base::duration age = {});
 
     /// The longest lease that any worker may hold from earlier leaders; call it
     /// before take_closed(). Without it that is the platform's longest.
     void take_longest_lease(base::duration recorded);
+    /// The last earlier leader has resigned, at this time or before, and told
+    /// that every lease ends within `left` from then; see leases_left(). Call
+    /// it before take_closed().
+    void take_resignation(base::instant resigned_at, base::duration left);
 
     /// Call once after the workers and jobs of an earlier leader were added.
     /// Tasks of these jobs start only when each worker has reported, or when
@@ -214,6 +222,10 @@
     /// The longest lease that a worker may hold from this leader or, until
     /// their leases are over, from earlier ones.
     [[nodiscard]] base::duration longest_lease_held(base::instant now) const;
+    /// Within which every lease ends, of this leader and of earlier ones, if it
+    /// grants none from now on. Nothing: an earlier leader may still grant.
+    [[nodiscard]] std::optional<base::duration>
+    leases_left(base::instant now) const;
     /// Workers on which something may run or start; valid until the next
     /// command.
     [[nodiscard]] std::vector<worker_info const*>
--- a/libs/jobs/include/foxtaillift/jobs/worker_record.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/worker_record.hpp
@@ -6,6 +6,7 @@
 #include "foxtaillift/jobs/worker.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -26,6 +27,9 @@
 {
     std::int64_t token = 0;
     base::duration longest{}; ///< that a worker may hold
+    /// Of a leader that has resigned: every lease ends within this time after
+    /// its last write.
+    std::optional<base::duration> left{};
 };
 
 std::string encode(recorded_lease const& value);
--- a/libs/jobs/src/scheduler.cpp
+++ b/libs/jobs/src/scheduler.cpp
@@ -72,6 +72,12 @@
     this->impl->inherited_lease = recorded;
 }
 
+void scheduler::take_resignation(base::instant resigned_at, base::duration left)
+{
+    this->impl->resigned_leases_end =
+        resigned_at + on_slow_clock(left) + lapse_margin;
+}
+
 void scheduler::begin_recovery(base::instant now)
 {
     this->impl->is_recovered = false;
@@ -92,9 +98,11 @@
 }
 
 void scheduler::take_closed(
-    std::span<closed_worker const> record, base::instant now)
+    std::span<closed_worker const> record,
+    base::instant now,
+    base::duration age)
 {
-    this->impl->take_closed(record, now);
+    this->impl->take_closed(record, now, age);
 }
 
 void scheduler::take_learned(std::string_view text)
@@ -251,6 +259,11 @@
     return this->impl->longest_lease_held(now);
 }
 
+std::optional<base::duration> scheduler::leases_left(base::instant now) const
+{
+    return this->impl->leases_left(now);
+}
+
 std::vector<worker_info const*>
 scheduler::workers_in_use(base::instant now) const
 {
--- a/libs/jobs/src/scheduler_closing.cpp
+++ b/libs/jobs/src/scheduler_closing.cpp
@@ -104,7 +104,9 @@
 }
 
 void scheduler::implementation::take_closed(
-    std::span<closed_worker const> record, base::instant now)
+    std::span<closed_worker const> record,
+    base::instant now,
+    base::duration age)
 {
     for (auto const& each : record) {
         auto const index = this->workers.find(each.id);
@@ -121,12 +123,13 @@
         this->log(line);
         if (each.lease_age) {
             worker.is_lease_closed = true;
-            worker.granted_at = now - *each.lease_age;
+            worker.granted_at = now - age - *each.lease_age;
             worker.inherited_until = worker.granted_at +
                                      on_slow_clock(this->inherited_lease) +
                                      lapse_margin;
         } else {
             worker.is_lease_unknown = true;
+            worker.inherited_until = this->earlier_leases_end();
         }
         for (auto const& run : each.runs) {
             worker.occupy(run, {.is_unsized = true});
--- a/libs/jobs/src/scheduler_core.hpp
+++ b/libs/jobs/src/scheduler_core.hpp
@@ -220,8 +220,11 @@
     [[nodiscard]] bool
     is_majority_heard(base::instant since, base::instant now) const;
     void update_majority(base::instant now);
-    [[nodiscard]] base::instant earlier_leases_end() const;
+    [[nodiscard]] std::optional<base::instant> earlier_leases_end() const;
+    [[nodiscard]] bool are_earlier_leases_over(base::instant now) const;
     [[nodiscard]] base::duration longest_lease_held(base::instant now) const;
+    [[nodiscard]] std::optional<base::duration>
+    leases_left(base::instant now) const;
     bool update_recovery(base::instant now);
 
     // Advisers (scheduler_advice.cpp)
@@ -233,7 +236,10 @@
     // Closed workers (scheduler_closing.cpp)
     std::vector<closed_worker> close_workers(base::instant now);
     void on_closed_recorded(std::span<closed_worker const> record);
-    void take_closed(std::span<closed_worker const> record, base::instant now);
+    void take_closed(
+        std::span<closed_worker const> record,
+        base::instant now,
+        base::duration age);
 
     // Shared
     job_entry* find_job(std::string_view id);
@@ -333,6 +339,8 @@
     bool is_recovered = true;
     std::optional<base::instant> recovery_began{};
     std::optional<base::instant> majority_at{};
+    /// When the leases of earlier leaders are over, if the last one resigned.
+    std::optional<base::instant> resigned_leases_end{};
     /// The rows of all jobs that were stored before are known.
     base::instant jobs_read{-1'000'000};
 
--- a/libs/jobs/src/scheduler_orders.cpp
+++ b/libs/jobs/src/scheduler_orders.cpp
@@ -123,23 +123,45 @@
     }
 }
 
-/// Of all that an earlier leader may have granted. Call only once a majority of
-/// workers has been heard.
-base::instant scheduler::implementation::earlier_leases_end() const
+/// Of all that an earlier leader may have granted. Nothing while one may still
+/// grant: it has not resigned, and no majority of workers has been heard.
+std::optional<base::instant>
+scheduler::implementation::earlier_leases_end() const
 {
+    if (this->resigned_leases_end) {
+        return this->resigned_leases_end;
+    }
+    if (!this->majority_at) {
+        return std::nullopt;
+    }
     return *this->majority_at + majority_window +
            on_slow_clock(this->inherited_lease) + lapse_margin;
 }
 
+bool scheduler::implementation::are_earlier_leases_over(base::instant now) const
+{
+    auto const end = this->earlier_leases_end();
+    return !this->recovery_began || (end && now > *end);
+}
+
 base::duration
 scheduler::implementation::longest_lease_held(base::instant now) const
 {
-    bool const are_earlier_over =
-        !this->recovery_began ||
-        (this->majority_at && now > this->earlier_leases_end());
     auto const granted = this->options.lease + clock_reading_age;
-    return are_earlier_over ? granted
-                            : std::max(granted, this->inherited_lease);
+    return this->are_earlier_leases_over(now)
+               ? granted
+               : std::max(granted, this->inherited_lease);
+}
+
+std::optional<base::duration>
+scheduler::implementation::leases_left(base::instant now) const
+{
+    auto const granted = this->options.lease + clock_reading_age;
+    if (this->are_earlier_leases_over(now)) {
+        return granted;
+    }
+    auto const end = this->earlier_leases_end();
+    return end ? std::optional{std::max(granted, *end - now)} : std::nullopt;
 }
 
 /// Returns whether tasks of inherited jobs may start.
@@ -149,8 +171,7 @@
     if (this->is_recovered) {
         return true;
     }
-    bool const is_lapsed =
-        this->majority_at && now > this->earlier_leases_end();
+    bool const is_lapsed = this->are_earlier_leases_over(now);
     std::size_t missing = 0;
     for (std::size_t i = 0; i < this->workers.size(); ++i) {
         auto const& worker = this->workers[i];
--- a/libs/jobs/src/worker_record.cpp
+++ b/libs/jobs/src/worker_record.cpp
@@ -88,7 +88,12 @@
 
 std::string encode(recorded_lease const& value)
 {
-    return std::to_string(value.token) + " " + std::to_string(value.longest.ms);
+    auto text =
+        std::to_string(value.token) + " " + std::to_string(value.longest.ms);
+    if (value.left) {
+        text += " " + std::to_string(value.left->ms);
+    }
+    return text;
 }
 
 recorded_lease decode_lease(std::string_view text)
@@ -100,6 +105,10 @@
             base::error_code::corrupt_data,
             "the longest lease cannot be read: " + std::string{text}};
     }
+    base::duration left;
+    if (words >> left.ms && left.ms > 0) {
+        lease.left = left;
+    }
     return lease;
 }
 
--- a/libs/jobs/tests/takeover_test.cpp
+++ b/libs/jobs/tests/takeover_test.cpp
@@ -279,3 +279,85 @@
     }
     CHECK_THROWS_AS(decode_lease("2 x"), base::error);
 }
+
+namespace
+{
+
+/// A worker leaves while no host is up: the only one was stopped this long
+/// before, and starts again this long after. Returns what was broken.
+std::vector<std::string>
+leave_without_hosts(base::duration until_left, base::duration until_started)
+{
+    simulated_world world{4, {}};
+    world.run_for(base::seconds(3));
+    auto const host = leader_of(world);
+    for (std::size_t i = 0; i < world.hosts.size(); ++i) {
+        if (i != host) {
+            world.kill_host(i);
+        }
+    }
+    world.submit(
+        host, {.id = "j",
+               .tasks = 8,
+               .need = {.processors = 400, .memory_mb = 1},
+               .is_lasting = true});
+    world.run_for(base::seconds(15));
+    CHECK(world.accepted.size() == 1);
+    world.hosts[host]->service->stop([] {});
+    world.run_for(base::milliseconds(100));
+    world.kill_host(host);
+    world.run_for(until_left);
+    world.workers[0].is_reachable = false;
+    world.workers[0].runs.clear();
+    world.set_listed(0, false);
+    world.watch_lasting_tasks(world.time.now);
+    world.run_for(until_started);
+    world.start_host(host);
+    world.run_for(base::seconds(20));
+    return world.violations;
+}
+
+} // namespace
+
+// Guards against lasting tasks that wait for the longest lease from a takeover
+// on, though the last leader had resigned (review/8: 9 to 12 s).
+TEST_CASE("leases of a leader that resigned are counted from its resignation")
+{
+    for (std::int64_t left_ms = 100; left_ms <= 3000; left_ms += 580) {
+        for (std::int64_t started_ms = 300; started_ms <= 4000;
+             started_ms += 740) {
+            CAPTURE(left_ms);
+            CAPTURE(started_ms);
+            auto const broken = leave_without_hosts(
+                base::milliseconds(left_ms), base::milliseconds(started_ms));
+            for (auto const& each : broken) {
+                INFO(each);
+                CHECK(broken.empty());
+            }
+        }
+    }
+}
+
+// Guards against a resignation that vouches for an earlier leader which may
+// still grant leases: the one that resigned had not heard a majority.
+TEST_CASE("a leader tells when leases end only if no other one may grant")
+{
+    fixture test{2, true};
+    test.list("a");
+    test.list("b");
+    CHECK_FALSE(test.decisions.leases_left(test.now));
+    test.take<look_order>();
+    test.answer("a", test.report());
+    test.answer("b", test.report());
+    test.take<look_order>();
+    auto const left = test.decisions.leases_left(test.now);
+    REQUIRE(left);
+    CHECK(*left >= base::milliseconds(2500 + 6000));
+    // The last one's word holds without a majority, and lengthens nothing.
+    fixture next{3, true};
+    next.list("a");
+    next.decisions.take_resignation(next.now, base::milliseconds(5000));
+    auto const inherited = next.decisions.leases_left(next.now);
+    REQUIRE(inherited);
+    CHECK(inherited->ms >= 5100 + 250);
+}
