--- a/libs/jobs/include/foxtaillift/jobs/canceller.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/canceller.hpp
@@ -147,8 +147,7 @@
              .value = tombstone_value},
             {.table = tables::jobs, .key = tombstone_key(wanted.job)}};
         this->write(
-            wanted, std::move(change), request_outcome::unknown_job,
-            std::move(callback));
+            wanted, change, request_outcome::unknown_job, std::move(callback));
     }
 
     void write_cancellation(
@@ -162,33 +161,34 @@
         change.puts.push_back(
             {.table = tables::jobs, .key = cancellation_key(wanted.job)});
         this->write(
-            wanted, std::move(change), request_outcome::accepted,
-            std::move(callback));
+            wanted, change, request_outcome::accepted, std::move(callback));
     }
 
     /// `outcome` is what the change makes true.
     void write(
         cancellation const& wanted,
-        row_change change,
+        row_change const& change,
         request_outcome outcome,
         outcome_callback callback)
     {
         this->host->ports.change(
-            std::move(change),
-            this->bound([this, wanted, outcome,
-                         sent_at = this->host->ports.now(),
-                         callback = std::move(callback)](
-                            change_result const& result) mutable {
+            change, this->bound([this, wanted, outcome,
+                                 sent_at = this->host->ports.now(),
+                                 callback = std::move(callback)](
+                                    change_result const& result) mutable {
                 this->host->note_store(result.status, sent_at);
-                if (result.status == store_status::done) {
+                bool const is_conflict =
+                    result.status == store_status::conflict;
+                // The job has ended since its row was read.
+                bool const is_over =
+                    is_conflict && outcome == request_outcome::accepted;
+                if (result.status == store_status::done || is_over) {
                     callback(outcome);
-                } else if (result.status != store_status::conflict) {
-                    this->cancel_elsewhere(wanted, std::move(callback));
-                } else if (outcome == request_outcome::accepted) {
-                    callback(outcome); // the job has ended since it was read
-                } else {
+                } else if (is_conflict) {
                     // It was accepted since then.
                     this->try_again(wanted, {}, std::move(callback));
+                } else {
+                    this->cancel_elsewhere(wanted, std::move(callback));
                 }
             }));
     }
--- a/libs/jobs/include/foxtaillift/jobs/record_writer.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/record_writer.hpp
@@ -108,11 +108,10 @@
     }
 
     /// Has the tombstone of the job removed in time. Call once for each.
-    void add_tombstone(std::string job)
+    void add_tombstone(std::string const& job)
     {
         this->ended.push_back(
-            {this->ports.now(),
-             {.job = std::move(job), .has_tombstone = true}});
+            {this->ports.now(), {.job = job, .has_tombstone = true}});
     }
 
     /// The callback comes once, with `done`, `not_done`, `unknown` or, for a
