Set workers aside that obey another holder, and leave unused services alone

Cause: any refusal for a higher token ended the leadership without a question to the store, which goes on to name the same leader; and every listed worker was looked at, recorded and waited for. Ruled out: a second leader (no other token is written).

Change: workers of services that no queue names get no orders and are not recorded. The first refusal of a worker makes the leader ask the store at once and grant nothing until it is confirmed; it gives up if the store denies it or is silent for 2 s. The worker is looked at after 8, 16, 32 and then each 64 s. What never answered is recorded as closed once earlier leases are over.

--- a/libs/jobs/include/foxtaillift/jobs/leader.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/leader.hpp
@@ -24,6 +24,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -125,11 +126,24 @@
         if (fleet.version > 0) {
             this->decisions.set_queues(fleet.queues());
         }
+        for (auto const& queue : fleet.queues()) {
+            this->use_service(queue.service);
+        }
         this->wake();
     }
 
+    /// Workers of a service that no queue names, and that none named since the
+    /// takeover, get no orders.
     void list_worker(worker_info const& worker)
     {
+        if (!this->services.contains(worker.service)) {
+            if (this->roster.listed().contains(worker.id)) {
+                this->unlist_worker(worker.id); // it has another service now
+            }
+            this->unused[worker.id] = worker;
+            return;
+        }
+        this->unused.erase(worker.id);
         this->roster.list(worker);
         this->relays->list_worker(worker);
         if (this->roster.is_recorded(worker.id)) {
@@ -140,6 +154,7 @@
 
     void unlist_worker(std::string const& worker)
     {
+        this->unused.erase(worker);
         this->roster.unlist(worker);
         this->relays->unlist_worker(worker);
         this->decisions.unlist_worker(worker, this->ports.now());
@@ -340,10 +355,26 @@
         this->wake();
     }
 
+    /// Lists the workers of the service if it was not in use before.
+    void use_service(std::string const& service)
+    {
+        if (!this->services.insert(service).second) {
+            return;
+        }
+        for (auto const& [id, worker] : std::map{this->unused}) {
+            if (worker.service == service) {
+                this->list_worker(worker);
+            }
+        }
+    }
+
     void add_submitted(std::string const& id, std::string const& value)
     {
         try {
             auto job = decode_job(value);
+            if (job.terms) {
+                this->use_service(job.terms->service);
+            }
             auto const found = this->inherited.find(id);
             this->decisions.add_job(
                 std::move(job),
@@ -369,6 +400,7 @@
                 .add("workers", load.workers)
                 .add("usable", load.usable_workers)
                 .add("barred", load.barred_workers)
+                .add("fenced", load.fenced_workers)
                 .add("lasting_waiting", load.lasting_waiting)
                 .add("longest_lasting_wait_ms", load.longest_lasting_wait)
                 .add("processors", load.capacity.processors)
@@ -444,12 +476,18 @@
     {
         this->note_jobs_read();
         auto const now = this->ports.now();
-        if (this->decisions.is_fenced()) {
-            this->lose("a worker knows a higher token");
+        this->decisions.on_confirmed(now - this->store_age());
+        auto const fenced_at = this->decisions.fenced_at();
+        if (fenced_at && now - *fenced_at > confirmed_time) {
+            this->lose(
+                "a worker knows a higher token, and the store is silent");
             return;
         }
+        if (fenced_at) {
+            this->writer->confirm();
+        }
         bool const may_grant =
-            !this->writer->is_giving_up() &&
+            !this->writer->is_giving_up() && !fenced_at &&
             (this->store_age() < confirmed_time ||
              this->decisions.is_majority_heard(now - majority_span, now));
         this->orders->send(
@@ -478,6 +516,9 @@
     std::shared_ptr<inherited_state_loader<Ports>> loader{};
     std::shared_ptr<row_follower<Ports>> jobs_follower{};
     std::map<std::string, job_progress> inherited{};
+    /// That queues name, or terms of jobs.
+    std::set<std::string, std::less<>> services{};
+    std::map<std::string, worker_info> unused{}; ///< of other services, listed
     base::instant ran_at{-1'000'000};
     base::duration rest{}; ///< until the decisions run again
     /// Not known yet to be covered by the rows of jobs that were read.
--- a/libs/jobs/include/foxtaillift/jobs/record_writer.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/record_writer.hpp
@@ -139,14 +139,23 @@
         auto const interval = this->submissions.is_waiting()
                                   ? this->options.submission_interval
                                   : this->options.commit_interval;
-        if (this->write->is_out() || now - this->written_at < interval) {
+        bool const is_early = now - this->written_at < interval;
+        if (this->write->is_out() || (is_early && !this->is_confirmation_due)) {
             return;
         }
         if (this->prepare(now)) {
+            this->is_confirmation_due = false;
             this->write_next();
         }
     }
 
+    /// Asks the store at once whether this host still leads; see age().
+    void confirm()
+    {
+        this->is_confirmation_due = true;
+        this->commit();
+    }
+
     /// Shows that this host leads while it still loads what lasts, which may
     /// take longer than others wait for a beat.
     void beat()
@@ -265,6 +274,7 @@
         bool const is_due =
             !this->record.jobs.empty() || !this->record.workers.empty() ||
             this->submissions.taken_count() > 0 || is_closed_changed ||
+            this->is_confirmation_due ||
             now - this->written_at >= this->options.beat_interval;
         if (!is_due) {
             return false;
@@ -528,6 +538,7 @@
     std::function<void()> resigned{};
     std::int64_t successor_size = 0;
     bool is_commit_due = false; ///< is called soon
+    bool is_confirmation_due = false;
     bool has_inherited = false;
     bool is_resigning = false;
     bool is_stopped = false;
--- a/libs/jobs/include/foxtaillift/jobs/scheduler.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/scheduler.hpp
@@ -71,6 +71,7 @@
     std::size_t workers = 0;               ///< known
     std::size_t usable_workers = 0;        ///< get new tasks
     std::size_t barred_workers = 0;        ///< left out since runs failed there
+    std::size_t fenced_workers = 0;        ///< that obey another holder
     std::size_t lasting_waiting = 0;       ///< lasting tasks without a run
     base::duration longest_lasting_wait{}; ///< of these
     resources capacity{};                  ///< of the usable ones
@@ -160,6 +161,9 @@
     /// Does nothing if the job is unknown or over.
     void cancel_job(std::string_view job, base::instant now);
 
+    /// The store has confirmed the leadership, as it was asked at this time.
+    void on_confirmed(base::instant asked_at);
+
     /// `is_extra`: the answer to an order that was marked so.
     void on_look(
         std::string_view worker,
@@ -230,8 +234,11 @@
     /// command.
     [[nodiscard]] std::vector<worker_info const*>
     workers_in_use(base::instant now) const;
-    /// A worker refused an order since it knows a higher token.
-    [[nodiscard]] bool is_fenced() const;
+    /// When a worker refused an order since it knows a higher token, unless the
+    /// leadership was confirmed later. Another host may have taken over, so
+    /// that nothing may be granted, or the worker obeys a holder of its own; it
+    /// is set aside in both cases, and its next refusals do not count.
+    [[nodiscard]] std::optional<base::instant> fenced_at() const;
     /// What a successor need not learn anew, for take_learned().
     [[nodiscard]] std::string learned() const;
     [[nodiscard]] std::size_t running_count() const;
--- a/libs/jobs/src/scheduler.cpp
+++ b/libs/jobs/src/scheduler.cpp
@@ -294,9 +294,16 @@
     return result;
 }
 
-bool scheduler::is_fenced() const
+std::optional<base::instant> scheduler::fenced_at() const
 {
-    return this->impl->is_fenced;
+    return this->impl->fenced_at;
+}
+
+void scheduler::on_confirmed(base::instant asked_at)
+{
+    if (this->impl->fenced_at && asked_at > *this->impl->fenced_at) {
+        this->impl->fenced_at.reset();
+    }
 }
 
 std::size_t scheduler::running_count() const
@@ -318,6 +325,7 @@
         }
         ++result.workers;
         result.barred_workers += worker.trust.is_barred(now) ? 1 : 0;
+        result.fenced_workers += worker.refusals > 0 ? 1 : 0;
         if (!implementation::is_usable(worker, now)) {
             continue;
         }
--- a/libs/jobs/src/scheduler_answers.cpp
+++ b/libs/jobs/src/scheduler_answers.cpp
@@ -61,7 +61,7 @@
     base::instant now)
 {
     if (status == order_status::fenced) {
-        this->is_fenced = true;
+        this->note_fenced(index, now);
     }
     auto* const entry = this->find_run(index, run);
     if (entry == nullptr) {
--- a/libs/jobs/src/scheduler_closing.cpp
+++ b/libs/jobs/src/scheduler_closing.cpp
@@ -53,8 +53,13 @@
         // As long as the roster names it: what a successor reads there and not
         // here, it waits for.
         bool const is_known = worker.is_listed || this->is_in_use(worker, now);
-        if ((!is_silent && !is_leaving(worker)) || !is_known ||
-            !worker.is_accounted()) {
+        // What never answered has nothing of this leader, and nothing of
+        // earlier ones once their leases are over.
+        bool const is_accounted =
+            worker.is_accounted() ||
+            (!worker.is_heard && worker.silent_looks > 0 &&
+             this->are_earlier_leases_over(now));
+        if ((!is_silent && !is_leaving(worker)) || !is_known || !is_accounted) {
             continue;
         }
         auto runs = possible_runs(worker);
--- a/libs/jobs/src/scheduler_core.hpp
+++ b/libs/jobs/src/scheduler_core.hpp
@@ -191,6 +191,7 @@
     void on_commit_failed(commit_batch const& batch);
 
     // Reports of workers (scheduler_reports.cpp)
+    void note_fenced(std::size_t index, base::instant now);
     void on_look(
         std::size_t worker,
         order_status status,
@@ -334,7 +335,9 @@
     base::instant wait_lines_since{-1'000'000};
     std::size_t wait_lines_left = 0;
     bool is_commit_out = false;
-    bool is_fenced = false;
+    /// When a worker last refused an order for a higher token, unless the
+    /// leadership was confirmed later.
+    std::optional<base::instant> fenced_at{};
 
     bool is_recovered = true;
     std::optional<base::instant> recovery_began{};
--- a/libs/jobs/src/scheduler_reports.cpp
+++ b/libs/jobs/src/scheduler_reports.cpp
@@ -23,6 +23,9 @@
 constexpr base::duration silent_look_gap = base::milliseconds(300);
 constexpr base::duration longest_silent_gap = base::milliseconds(1000);
 
+/// Between looks at a worker that obeys another holder, doubled thrice.
+constexpr base::duration fenced_look_gap = base::milliseconds(8000);
+
 /// Wait before a task that was refused is ordered again.
 constexpr base::duration refused_gap = base::milliseconds(200);
 
@@ -81,7 +84,7 @@
         return;
     }
     if (status == order_status::fenced) {
-        this->is_fenced = true;
+        this->note_fenced(index, now);
         return;
     }
     if (status == order_status::other_life && sent_at < worker.moved_at) {
@@ -108,6 +111,32 @@
                                 silent_look_gap * (worker.silent_looks - 1));
 }
 
+/// What a worker says of its token is about that worker: it may obey a holder
+/// that has no office here. It gets no orders but a look now and then.
+void scheduler::implementation::note_fenced(
+    std::size_t index, base::instant now)
+{
+    auto& worker = this->workers[index];
+    if (worker.refusals > 0 && now < worker.look_due) {
+        return; // other orders that were out with the refused one
+    }
+    constexpr int longest_doubling = 3;
+    worker.look_due =
+        now +
+        fenced_look_gap * (1 << std::min(worker.refusals, longest_doubling));
+    ++worker.refusals;
+    ++worker.silent_looks;
+    this->log(base::event_line{"worker_fenced"}
+                  .add("worker", worker.info.id)
+                  .add("token", this->options.token)
+                  .add("refusals", worker.refusals)
+                  .add("runs", worker.runs.size()));
+    // Its later refusals tell nothing new.
+    if (worker.refusals == 1) {
+        this->fenced_at = now;
+    }
+}
+
 void scheduler::implementation::take_report(
     std::size_t index,
     worker_report const& report,
@@ -153,6 +182,7 @@
     worker.is_lease_unknown = false;
     worker.is_gone = false;
     worker.silent_looks = 0;
+    worker.refusals = 0;
     worker.is_look_lost = false;
     worker.heard_at = now;
     worker.heard_sent_at = std::max(worker.heard_sent_at, sent_at);
@@ -591,7 +621,7 @@
     base::instant now)
 {
     if (status == order_status::fenced) {
-        this->is_fenced = true;
+        this->note_fenced(index, now);
     }
     auto* const entry = this->find_run(index, run);
     auto* const job = this->find_job(run.task.job);
@@ -643,7 +673,7 @@
     base::instant now)
 {
     if (status == order_status::fenced) {
-        this->is_fenced = true;
+        this->note_fenced(index, now);
     }
     auto* const entry = this->find_run(index, run);
     if (entry == nullptr) {
--- a/libs/jobs/src/worker_table.hpp
+++ b/libs/jobs/src/worker_table.hpp
@@ -95,6 +95,7 @@
     std::set<run_name> unresolved{};
     int silent_looks = 0;      ///< in a row
     bool is_look_lost = false; ///< the last one, though it answered another
+    int refusals = 0; ///< for a higher token, in a row; it is set aside
     base::instant granted_at{-1'000'000}; ///< when its last lease was sent
     /// Named in the record of closed workers, or about to be: nothing starts
     /// there until a record without it is durable.
--- a/libs/jobs/tests/scheduler_test.cpp
+++ b/libs/jobs/tests/scheduler_test.cpp
@@ -542,9 +542,59 @@
     fixture test;
     test.list("a");
     test.take<look_order>();
-    CHECK_FALSE(test.decisions.is_fenced());
+    CHECK_FALSE(test.decisions.fenced_at());
     test.decisions.on_look("a", order_status::fenced, {}, test.now, test.now);
-    CHECK(test.decisions.is_fenced());
+    REQUIRE(test.decisions.fenced_at());
+    // Unless the store says later that it goes on.
+    test.decisions.on_confirmed(test.now);
+    CHECK(test.decisions.fenced_at() == test.now);
+    test.wait(1);
+    test.decisions.on_confirmed(test.now);
+    CHECK_FALSE(test.decisions.fenced_at());
+}
+
+// The pattern: an entry of a worker that obeys another holder (review/6).
+// Guards against a leader that takes its refusals for its deposition, and
+// against orders that it refuses time and again.
+TEST_CASE("a worker that obeys another holder is set aside")
+{
+    fixture test;
+    test.list("a");
+    test.list("b");
+    test.add("j", {.count = 2, .need = {.processors = 1000}});
+    int looks_at_foreign = 0;
+    std::size_t starts = 0;
+    constexpr std::int64_t step_ms = 100;
+    for (std::int64_t t = 0; t < 100'000; t += step_ms) {
+        for (auto const& look : test.take<look_order>()) {
+            if (look.worker == "b") {
+                ++looks_at_foreign;
+                test.decisions.on_look(
+                    "b", order_status::fenced, {}, test.now, test.now);
+            } else {
+                test.answer("a", test.report());
+            }
+        }
+        for (auto const& start : test.take<start_order>()) {
+            CHECK(start.worker == "a");
+            ++starts;
+        }
+        test.decisions.on_confirmed(test.now);
+        test.wait(step_ms);
+    }
+    CHECK(starts >= 2);
+    CHECK(looks_at_foreign >= 3); // it may change its mind
+    CHECK(looks_at_foreign <= 5); // 8 + 16 + 32 + 64 s
+    CHECK(test.decisions.load(test.now).fenced_workers == 1);
+    // Only its first refusal raises the question who leads.
+    CHECK_FALSE(test.decisions.fenced_at());
+    test.wait(100'000);
+    test.decisions.on_look("b", order_status::fenced, {}, test.now, test.now);
+    CHECK_FALSE(test.decisions.fenced_at());
+    test.answer("b", test.report());
+    CHECK(test.decisions.load(test.now).fenced_workers == 0);
+    test.decisions.on_look("b", order_status::fenced, {}, test.now, test.now);
+    CHECK(test.decisions.fenced_at());
 }
 
 // The pattern: a worker fails everything at once, is always free and so
--- a/libs/jobs/tests/simulated_world.cpp
+++ b/libs/jobs/tests/simulated_world.cpp
@@ -116,7 +116,7 @@
     return {
         .id = worker.id,
         .address = worker.id,
-        .service = "s",
+        .service = worker.service,
         .failure_domain = "z",
         .capacity = worker.capacity,
         .is_draining = worker.is_draining,
--- a/libs/jobs/tests/simulated_world.hpp
+++ b/libs/jobs/tests/simulated_world.hpp
@@ -119,6 +119,7 @@
     static constexpr std::int64_t longest_lease_ms = 6000;
 
     std::string id{};
+    std::string service = "s";
     resources capacity{.processors = 4000, .memory_mb = 1000};
     std::int64_t token = 0;
     std::int64_t lease_until = 0;
