--- a/libs/jobs/include/foxtaillift/jobs/leader.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/leader.hpp
@@ -361,7 +361,8 @@
         if (!this->services.insert(service).second) {
             return;
         }
-        for (auto const& [id, worker] : std::map{this->unused}) {
+        auto const listed = this->unused; // list_worker() removes from it
+        for (auto const& [id, worker] : listed) {
             if (worker.service == service) {
                 this->list_worker(worker);
             }
@@ -516,9 +517,10 @@
     std::shared_ptr<inherited_state_loader<Ports>> loader{};
     std::shared_ptr<row_follower<Ports>> jobs_follower{};
     std::map<std::string, job_progress> inherited{};
-    /// That queues name, or terms of jobs.
+    /// Services that a queue, or the terms of a job, have named.
     std::set<std::string, std::less<>> services{};
-    std::map<std::string, worker_info> unused{}; ///< of other services, listed
+    /// Listed workers of other services.
+    std::map<std::string, worker_info> unused{};
     base::instant ran_at{-1'000'000};
     base::duration rest{}; ///< until the decisions run again
     /// Not known yet to be covered by the rows of jobs that were read.
--- a/libs/jobs/src/scheduler_reports.cpp
+++ b/libs/jobs/src/scheduler_reports.cpp
@@ -111,8 +111,8 @@
                                 silent_look_gap * (worker.silent_looks - 1));
 }
 
-/// What a worker says of its token is about that worker: it may obey a holder
-/// that has no office here. It gets no orders but a look now and then.
+/// Sets the worker aside. Its refusal need not mean that another host leads: it
+/// may obey a holder of its own.
 void scheduler::implementation::note_fenced(
     std::size_t index, base::instant now)
 {
@@ -131,7 +131,7 @@
                   .add("token", this->options.token)
                   .add("refusals", worker.refusals)
                   .add("runs", worker.runs.size()));
-    // Its later refusals tell nothing new.
+    // While it refuses, further refusals tell nothing new.
     if (worker.refusals == 1) {
         this->fenced_at = now;
     }
