--- a/libs/client/src/command_line.cpp
+++ b/libs/client/src/command_line.cpp
@@ -125,6 +125,15 @@
     });
 }
 
+void add_evacuation_verbs(CLI::App& app, arguments& values)
+{
+    auto* const group = add_group(
+        app, "evacuation", "Evacuated failure domains (the job service)");
+    on_chosen(
+        group->add_subcommand("list", "Since when, and what is still there"),
+        values, list_evacuations);
+}
+
 /// drain, quarantine and release are overrides of `worker.state`.
 void add_worker_order(
     CLI::App* group,
@@ -288,6 +297,7 @@
         list_teams);
     add_task_verbs(app, values);
     add_job_verbs(app, values);
+    add_evacuation_verbs(app, values);
     add_worker_verbs(app, values);
     add_config_verbs(app, values);
     add_override_verbs(app, values);
--- a/libs/client/src/queries.cpp
+++ b/libs/client/src/queries.cpp
@@ -106,6 +106,16 @@
         use, use.link.get_from_leader("/v1/workers"), "workers", columns);
 }
 
+exit_code list_evacuations(session const& use)
+{
+    constexpr std::array columns{
+        column{"DOMAIN", "failure_domain"}, column{"KNOWN MS", "known_ms"},
+        column{"WORKERS", "workers"}, column{"RUNS", "runs"}};
+    return print_rows(
+        use, use.link.get_from_leader("/v1/evacuations"), "evacuations",
+        columns);
+}
+
 exit_code list_teams(session const& use)
 {
     constexpr std::array columns{
--- a/libs/client/src/queries.hpp
+++ b/libs/client/src/queries.hpp
@@ -10,6 +10,8 @@
 
 exit_code show_status(session const& use);
 exit_code list_workers(session const& use);
+/// Failure domains in which nothing starts (the job service).
+exit_code list_evacuations(session const& use);
 exit_code list_teams(session const& use);
 exit_code list_tasks(
     session const& use, std::string const& team, std::string const& state);
--- a/libs/jobs/include/foxtaillift/jobs/candidate.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/candidate.hpp
@@ -384,6 +384,9 @@
                               : std::vector<relay_host>{};
             });
         this->host->led = led;
+        for (auto const& failure_domain : this->host->evacuated) {
+            led->set_evacuated(failure_domain, true);
+        }
         led->set_fleet(this->host->configuration);
         for (auto const& [id, worker] : this->workers) {
             led->list_worker(worker);
--- a/libs/jobs/include/foxtaillift/jobs/coordinator.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/coordinator.hpp
@@ -16,6 +16,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -52,6 +53,21 @@
         }
     }
 
+    /// The operator wants nothing to start in this failure domain any more, or
+    /// takes that back. Tell all evacuations that are known together with the
+    /// first configuration, since a leader starts nothing before that one.
+    void set_evacuated(std::string const& failure_domain, bool is_evacuated)
+    {
+        if (is_evacuated) {
+            this->host->evacuated.insert(failure_domain);
+        } else {
+            this->host->evacuated.erase(failure_domain);
+        }
+        if (this->host->led) {
+            this->host->led->set_evacuated(failure_domain, is_evacuated);
+        }
+    }
+
     void list_worker(worker_info const& worker)
     {
         this->running->list_worker(worker);
@@ -170,6 +186,12 @@
         return this->host->configuration;
     }
 
+    [[nodiscard]] std::set<std::string, std::less<>> const&
+    evacuated_domains() const
+    {
+        return this->host->evacuated;
+    }
+
     /// This host reaches neither the store nor any other host, so callers are
     /// served better elsewhere.
     [[nodiscard]] bool is_isolated() const
--- a/libs/jobs/include/foxtaillift/jobs/host_state.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/host_state.hpp
@@ -16,6 +16,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -130,6 +131,7 @@
     contact reach{};
     store_health store{};
     fleet_configuration configuration{};
+    std::set<std::string, std::less<>> evacuated{}; ///< failure domains
     std::shared_ptr<leader<Ports>> led{};
     base::instant leader_answered_at{-1'000'000};
 
--- a/libs/jobs/include/foxtaillift/jobs/leader.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/leader.hpp
@@ -132,6 +132,13 @@
         this->wake();
     }
 
+    void set_evacuated(std::string const& failure_domain, bool is_evacuated)
+    {
+        this->decisions.set_evacuated(
+            failure_domain, is_evacuated, this->ports.now());
+        this->wake();
+    }
+
     /// Workers of a service that no queue names, and that none named since the
     /// takeover, get no orders.
     void list_worker(worker_info const& worker)
@@ -402,6 +409,7 @@
                 .add("usable", load.usable_workers)
                 .add("barred", load.barred_workers)
                 .add("fenced", load.fenced_workers)
+                .add("evacuated", load.evacuated_workers)
                 .add("lasting_waiting", load.lasting_waiting)
                 .add("longest_lasting_wait_ms", load.longest_lasting_wait)
                 .add("processors", load.capacity.processors)
--- a/libs/jobs/include/foxtaillift/jobs/scheduler.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/scheduler.hpp
@@ -72,6 +72,7 @@
     std::size_t usable_workers = 0;        ///< get new tasks
     std::size_t barred_workers = 0;        ///< left out since runs failed there
     std::size_t fenced_workers = 0;        ///< that obey another holder
+    std::size_t evacuated_workers = 0;     ///< in evacuated failure domains
     std::size_t lasting_waiting = 0;       ///< lasting tasks without a run
     base::duration longest_lasting_wait{}; ///< of these
     resources capacity{};                  ///< of the usable ones
@@ -118,6 +119,12 @@
     void recall_worker(worker_info const& worker, base::instant now);
     void unlist_worker(std::string_view worker, base::instant now);
 
+    /// From now on nothing starts on workers of this failure domain, or it does
+    /// again. What runs there stays and keeps its leases. While any domain is
+    /// evacuated, nothing starts on workers whose domain is not known.
+    void set_evacuated(
+        std::string_view failure_domain, bool is_evacuated, base::instant now);
+
     /// Closes the workers that do not answer or leave: nothing starts there any
     /// more, and leases of those that do not answer do not grow. Returns what
     /// may run there, for the next record; a successor then needs no answer of
--- a/libs/jobs/include/foxtaillift/jobs/views.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/views.hpp
@@ -41,6 +41,10 @@
 
 std::string encode_workers_view(scheduler const& decisions, base::instant now);
 
+/// Evacuated failure domains, each with the time since the leader knows of it
+/// and what is still there.
+std::string encode_evacuations(scheduler const& decisions, base::instant now);
+
 struct operator_answer
 {
     int status = 0; ///< of HTTP
@@ -54,8 +58,8 @@
 operator_answer
 make_refusal(int status, std::string_view error, std::string_view message);
 
-/// Answers a read of `/v1/status`, `/v1/jobs`, `/v1/jobs/ID` or `/v1/workers`.
-/// `decisions` is null unless the host leads.
+/// Answers a read of `/v1/status`, `/v1/jobs`, `/v1/jobs/ID`, `/v1/workers` or
+/// `/v1/evacuations`. `decisions` is null unless the host leads.
 operator_answer answer_operator_read(
     std::string_view path,
     host_view const& host,
--- a/libs/jobs/src/obstacle.cpp
+++ b/libs/jobs/src/obstacle.cpp
@@ -10,6 +10,8 @@
         return "none";
     case obstacle::unusable:
         return "unusable";
+    case obstacle::evacuated:
+        return "evacuated";
     case obstacle::not_allowed:
         return "not_allowed";
     case obstacle::no_ticket:
--- a/libs/jobs/src/obstacle.hpp
+++ b/libs/jobs/src/obstacle.hpp
@@ -13,6 +13,7 @@
 {
     none,
     unusable,     ///< silent, draining, barred, of another service
+    evacuated,    ///< its failure domain is
     not_allowed,  ///< by a label or a limit of tasks on one worker
     no_ticket,    ///< by the queue's adviser, or it was not asked yet
     processors,   ///< too few are free
--- a/libs/jobs/src/scheduler.cpp
+++ b/libs/jobs/src/scheduler.cpp
@@ -53,6 +53,7 @@
                             .add("processors", worker.capacity.processors));
     }
     entry.info = worker;
+    this->impl->update_evacuated(entry);
     entry.is_listed = true;
     entry.leaves_at = now + worker.remaining - age_of_entry(entry, now);
 }
@@ -62,6 +63,7 @@
     auto& entry = this->impl->workers[this->impl->workers.add(worker.id)];
     if (!entry.is_listed) {
         entry.info = worker;
+        this->impl->update_evacuated(entry);
         entry.unlisted_at = now;
     }
 }
@@ -84,6 +86,12 @@
     }
 }
 
+void scheduler::set_evacuated(
+    std::string_view failure_domain, bool is_evacuated, base::instant now)
+{
+    this->impl->set_evacuated(failure_domain, is_evacuated, now);
+}
+
 void scheduler::take_longest_lease(base::duration recorded)
 {
     this->impl->inherited_lease = recorded;
@@ -326,6 +334,7 @@
         ++result.workers;
         result.barred_workers += worker.trust.is_barred(now) ? 1 : 0;
         result.fenced_workers += worker.refusals > 0 ? 1 : 0;
+        result.evacuated_workers += worker.is_evacuated ? 1 : 0;
         if (!implementation::is_usable(worker, now)) {
             continue;
         }
--- a/libs/jobs/src/scheduler_core.hpp
+++ b/libs/jobs/src/scheduler_core.hpp
@@ -234,6 +234,12 @@
         std::optional<advice> const& answer,
         base::instant now);
 
+    // Evacuated failure domains (scheduler_evacuation.cpp)
+    void set_evacuated(
+        std::string_view failure_domain, bool is_evacuated, base::instant now);
+    /// Call whenever the failure domain of a worker may have changed.
+    void update_evacuated(worker_entry& worker) const;
+
     // Closed workers (scheduler_closing.cpp)
     std::vector<closed_worker> close_workers(base::instant now);
     void on_closed_recorded(std::span<closed_worker const> record);
@@ -289,6 +295,9 @@
     /// Something runs there or may start there.
     [[nodiscard]] bool
     is_in_use(worker_entry const& worker, base::instant now) const;
+    /// New tasks could start there if its failure domain were not evacuated.
+    [[nodiscard]] static bool
+    is_sound(worker_entry const& worker, base::instant now);
     /// New tasks may start there, by all that is known of the worker.
     [[nodiscard]] static bool
     is_usable(worker_entry const& worker, base::instant now);
@@ -313,6 +322,9 @@
     /// By service; made at the start of each run, since a search looks at all
     /// of them and most have no room.
     std::map<std::string, std::vector<vacancy>, std::less<>> vacancies;
+    std::size_t evacuated_vacancies = 0; ///< sound workers that are left out
+    /// Failure domains in which nothing starts, and since when.
+    std::map<std::string, base::instant, std::less<>> evacuated{};
     std::vector<std::size_t> kept{};    ///< workers that keep room
     std::size_t keep_searches_left = 0; ///< in the current run
     bool is_placing_starving = false;   ///< other tasks are passed over
--- a/libs/jobs/src/scheduler_placing.cpp
+++ b/libs/jobs/src/scheduler_placing.cpp
@@ -396,6 +396,7 @@
         .add("idle_ms", now - waiting_since(job, *job.ordinal(task)))
         .add("processors", job.spec.steps[task.step].need.processors)
         .add("unusable", count(obstacle::unusable))
+        .add("evacuated", count(obstacle::evacuated))
         .add("not_allowed", count(obstacle::not_allowed))
         .add("no_ticket", count(obstacle::no_ticket))
         .add("no_processors", count(obstacle::processors))
--- a/libs/jobs/src/scheduler_search.cpp
+++ b/libs/jobs/src/scheduler_search.cpp
@@ -71,7 +71,7 @@
     return may_run || may_start_unlisted(worker, now);
 }
 
-bool scheduler::implementation::is_usable(
+bool scheduler::implementation::is_sound(
     worker_entry const& worker, base::instant now)
 {
     return worker.is_heard && !worker.is_gone && !worker.is_closed &&
@@ -82,6 +82,12 @@
            now - worker.heard_at < fresh_report;
 }
 
+bool scheduler::implementation::is_usable(
+    worker_entry const& worker, base::instant now)
+{
+    return !worker.is_evacuated && is_sound(worker, now);
+}
+
 double scheduler::implementation::lost_versatility(
     worker_entry const& worker, step const& wanted, image_number image) const
 {
@@ -102,6 +108,7 @@
 void scheduler::implementation::find_vacancies(base::instant now)
 {
     this->searched_at = now;
+    this->evacuated_vacancies = 0;
     for (auto& [service, list] : this->vacancies) {
         list.clear();
     }
@@ -111,7 +118,11 @@
     for (std::size_t i = 0; i < this->workers.size(); ++i) {
         auto& worker = this->workers[i];
         worker.vacancy_position.reset();
-        if (!is_usable(worker, now)) {
+        if (!is_sound(worker, now)) {
+            continue;
+        }
+        if (worker.is_evacuated) {
+            ++this->evacuated_vacancies;
             continue;
         }
         if (service == nullptr || *service != worker.info.service) {
@@ -174,7 +185,9 @@
     }
     auto const& choices = list->second;
     ranked.obstacles.add(
-        obstacle::unusable, this->workers.size() - choices.size());
+        obstacle::unusable,
+        this->workers.size() - choices.size() - this->evacuated_vacancies);
+    ranked.obstacles.add(obstacle::evacuated, this->evacuated_vacancies);
     std::size_t compared = 0;
     auto const first = this->next_candidate;
     for (std::size_t i = 0; i < choices.size() && compared < count; ++i) {
--- a/libs/jobs/src/views.cpp
+++ b/libs/jobs/src/views.cpp
@@ -105,9 +105,9 @@
     json view = {
         {"task", to_string(wait.task)}, {"seen_ms", (now - wait.seen_at).ms}};
     for (auto const why :
-         {obstacle::unusable, obstacle::not_allowed, obstacle::no_ticket,
-          obstacle::processors, obstacle::memory, obstacle::accelerators,
-          obstacle::speed}) {
+         {obstacle::unusable, obstacle::evacuated, obstacle::not_allowed,
+          obstacle::no_ticket, obstacle::processors, obstacle::memory,
+          obstacle::accelerators, obstacle::speed}) {
         view[std::string{to_string(why)}] = wait.obstacles.of(why);
     }
     return view;
@@ -120,6 +120,7 @@
            : worker.silent_looks > 0                            ? "silent"
            : worker.info.is_draining                            ? "draining"
            : worker.is_closed                                   ? "closed"
+           : worker.is_evacuated                                ? "evacuated"
            : worker.trust.is_barred(now)                        ? "barred"
            : worker.is_slow                                     ? "slow"
            : !scheduler::implementation::is_usable(worker, now) ? "unusable"
@@ -225,6 +226,29 @@
     return view.dump();
 }
 
+std::string encode_evacuations(scheduler const& decisions, base::instant now)
+{
+    auto const& inside = decisions.inside();
+    json view = {{"evacuations", json::array()}};
+    for (auto const& [domain, since] : inside.evacuated) {
+        std::size_t workers = 0;
+        std::size_t runs = 0;
+        for (std::size_t i = 0; i < inside.workers.size(); ++i) {
+            auto const& worker = inside.workers[i];
+            if (worker.info.failure_domain == domain) {
+                workers += worker.is_listed ? 1 : 0;
+                runs += worker.runs.size();
+            }
+        }
+        view["evacuations"].push_back(
+            {{"failure_domain", domain},
+             {"known_ms", (now - since).ms},
+             {"workers", workers},
+             {"runs", runs}});
+    }
+    return view.dump();
+}
+
 operator_answer make_job_answer(std::string_view job, std::string_view outcome)
 {
     constexpr int success = 200;
@@ -252,6 +276,7 @@
         return {success, encode_status(host, decisions, now)};
     }
     bool const is_of_leader = path == "/v1/jobs" || path == "/v1/workers" ||
+                              path == "/v1/evacuations" ||
                               path.starts_with(one_job);
     if (is_of_leader && decisions == nullptr) {
         return {
@@ -268,6 +293,9 @@
     if (path == "/v1/workers") {
         return {success, encode_workers_view(*decisions, now)};
     }
+    if (path == "/v1/evacuations") {
+        return {success, encode_evacuations(*decisions, now)};
+    }
     if (is_of_leader) {
         auto const id = path.substr(one_job.size());
         if (auto view = encode_job(*decisions, id, now)) {
--- a/libs/jobs/src/worker_table.hpp
+++ b/libs/jobs/src/worker_table.hpp
@@ -83,6 +83,7 @@
     std::int64_t leased_until_ms = 0;   ///< latest ever granted, on its clock
     bool is_heard = false;              ///< has reported to this leader
     bool is_gone = false;               ///< nothing can run there any more
+    bool is_evacuated = false;          ///< nothing starts in its domain
     base::instant moved_at{-1'000'000}; ///< to the address that is listed
 
     bool is_look_out = false;
--- a/libs/jobs/tests/simulated_world.cpp
+++ b/libs/jobs/tests/simulated_world.cpp
@@ -117,7 +117,7 @@
         .id = worker.id,
         .address = worker.id,
         .service = worker.service,
-        .failure_domain = "z",
+        .failure_domain = worker.failure_domain,
         .capacity = worker.capacity,
         .is_draining = worker.is_draining,
         .remaining = std::max(worker.leaves_at - this->time.now, {})};
@@ -153,6 +153,20 @@
     }
 }
 
+void simulated_world::set_evacuated(
+    std::string const& failure_domain, bool is_evacuated)
+{
+    if (is_evacuated) {
+        this->evacuated.emplace(failure_domain, this->time.now);
+    } else {
+        this->evacuated.erase(failure_domain);
+    }
+    this->tell_hosts([this, failure_domain](auto& host) {
+        host.service->set_evacuated(
+            failure_domain, this->evacuated.contains(failure_domain));
+    });
+}
+
 void simulated_world::set_draining(std::size_t worker, bool is_draining)
 {
     this->workers[worker].is_draining = is_draining;
@@ -388,6 +402,9 @@
         [service = host->service.get()](std::string const& worker) {
             service->unlist_worker(worker);
         };
+    for (auto const& [failure_domain, since] : this->evacuated) {
+        host->service->set_evacuated(failure_domain, true);
+    }
     host->service->set_fleet(this->configuration);
     host->service->start();
     this->hosts[index] = std::move(host);
@@ -660,6 +677,12 @@
     if (this->refused.contains(order.run.task.job)) {
         this->violations.push_back(text + " starts and was refused");
     }
+    constexpr base::duration longest_until_evacuated = base::seconds(5);
+    auto const closed = this->evacuated.find(worker.failure_domain);
+    if (closed != this->evacuated.end() && this->is_in_touch() &&
+        this->time.now - closed->second > longest_until_evacuated) {
+        this->violations.push_back(text + " starts in an evacuated domain");
+    }
     constexpr base::duration longest_until_cancelled = base::seconds(3);
     auto const given_up = this->cancelled.find(order.run.task.job);
     if (given_up != this->cancelled.end() && this->is_in_touch() &&
--- a/libs/jobs/tests/simulated_world.hpp
+++ b/libs/jobs/tests/simulated_world.hpp
@@ -120,6 +120,7 @@
 
     std::string id{};
     std::string service = "s";
+    std::string failure_domain = "z";
     resources capacity{.processors = 4000, .memory_mb = 1000};
     std::int64_t token = 0;
     std::int64_t lease_until = 0;
@@ -257,6 +258,10 @@
     /// Through this host; `cancelled` tells whether the caller heard that the
     /// job is cancelled or does not exist, and may expect that nothing runs.
     void cancel(std::size_t host, std::string const& id);
+    /// The operator evacuates the failure domain or takes that back; each host
+    /// learns of it some time later, and one that starts at its start. Nothing
+    /// may start there from 5 s on.
+    void set_evacuated(std::string const& failure_domain, bool is_evacuated);
     /// Lists the worker so; each host learns of it some time later.
     void set_draining(std::size_t worker, bool is_draining);
     /// Drains the worker, which leaves for good after the notice.
@@ -362,7 +367,8 @@
     [[nodiscard]] std::int64_t room_for(resources const& need) const;
 
     simulated_fleet fleet;
-    std::set<std::string> started{}; ///< jobs
+    std::set<std::string> started{};                  ///< jobs
+    std::map<std::string, base::instant> evacuated{}; ///< when asked for
     /// Requests that hold a job and were not refused, by job.
     std::map<std::string, std::size_t> not_refused{};
     std::set<task_name> noted{}; ///< done, and acknowledged by a leader
