--- a/libs/jobs/include/foxtaillift/jobs/order_rate.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/order_rate.hpp
@@ -9,8 +9,8 @@
 {
 
 /// Orders a second, over spans of a quarter of a second, against a limit. Above
-/// the limit the rate counts as high until it has been below half of it for
-/// some seconds: a peak comes in waves. Not thread-safe.
+/// the limit the rate counts as high until it has been below four fifths of it
+/// for some seconds: a peak comes in waves. Not thread-safe.
 class order_rate
 {
 public:
@@ -32,7 +32,7 @@
         this->count = 0;
         this->began = now;
         if (this->rate > this->limit ||
-            (this->high && this->rate > this->limit / 2)) {
+            (this->high && this->rate > this->limit * still_high)) {
             this->high = true;
             this->high_at = now;
         } else if (now - this->high_at >= hold) {
@@ -49,6 +49,7 @@
     static constexpr base::duration span = base::milliseconds(250);
     static constexpr base::duration hold = base::seconds(3);
     static constexpr double ms_per_second = 1000;
+    static constexpr double still_high = 0.8; // of the limit
 
     double limit;
     base::instant began{-1'000'000};
--- a/libs/jobs/include/foxtaillift/jobs/order_relays.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/order_relays.hpp
@@ -40,7 +40,7 @@
     /// A leader of fewer workers calls each of them itself, unless it is busy.
     std::size_t least_workers = 600;
     /// Orders a second above which a leader of fewer workers is busy.
-    double busy_orders_per_second = 2500;
+    double busy_orders_per_second = 3500;
     /// A leader of so few workers is never busy.
     std::size_t least_workers_when_busy = 100;
     /// For which one relay is used; more workers of a failure domain have more
