Order work by what it is worth when capacity is short

Cause: jobs were ordered by priority, lateness and deadline only. At more demand than capacity each job waited until it was about to be late.

Change: dispatch_order adds up the work that waits by deadline and, where a job would miss its objective, displaces the jobs that are worth least by remaining core-second. A chain longer than the time left counts as late at once, also for paces. GET /v1/jobs/ID shows the place in the order, queue_load the jobs by what they can still earn.

--- a/libs/jobs/include/foxtaillift/jobs/leader.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/leader.hpp
@@ -440,7 +440,10 @@
                                 .add("queue", name)
                                 .add("jobs", queue.jobs)
                                 .add("running_tasks", queue.running_tasks)
-                                .add("waiting_tasks", queue.waiting_tasks));
+                                .add("waiting_tasks", queue.waiting_tasks)
+                                .add("in_time", queue.in_time)
+                                .add("late", queue.late)
+                                .add("worthless", queue.worthless));
         }
     }
 
--- a/libs/jobs/include/foxtaillift/jobs/scheduler.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/scheduler.hpp
@@ -89,6 +89,10 @@
         std::size_t jobs = 0;          ///< not over
         std::size_t running_tasks = 0; ///< present on workers, or possibly
         std::size_t waiting_tasks = 0; ///< their turn has come
+        // Of the jobs, without lasting and timed ones; see dispatch_order.hpp.
+        std::size_t in_time = 0;   ///< can end within their objectives
+        std::size_t late = 0;      ///< only within three times these
+        std::size_t worthless = 0; ///< not even that
     };
     std::map<std::string, queue_load> queues{}; ///< by name
 };
--- a/libs/jobs/src/job_table.cpp
+++ b/libs/jobs/src/job_table.cpp
@@ -51,6 +51,14 @@
     }
 }
 
+/// Of one task, by its estimate [core-ms].
+double work_of_task(step const& step)
+{
+    constexpr double core = 1000;
+    return static_cast<double>(step.estimate.ms) *
+           static_cast<double>(step.need.processors) / core;
+}
+
 void apply(job_entry& job, job_progress const& progress)
 {
     job.state = progress.state;
@@ -159,6 +167,42 @@
     return count;
 }
 
+base::duration job_entry::chain_left() const
+{
+    base::duration longest{};
+    if (this->spec.repeats > 0) {
+        return longest;
+    }
+    for (std::size_t i = 0; i < this->spec.steps.size(); ++i) {
+        auto const& step = this->spec.steps[i];
+        if (this->steps[i].done < step.count) {
+            auto const own =
+                this->steps[i].idle > 0 ? step.estimate : base::duration{};
+            longest = std::max(longest, own + this->chain_after[i]);
+        }
+    }
+    return longest;
+}
+
+double job_entry::work_left() const
+{
+    constexpr double left_of_run = 0.5;
+    double sum = 0;
+    if (this->spec.repeats > 0) {
+        return sum;
+    }
+    for (std::size_t i = 0; i < this->spec.steps.size(); ++i) {
+        auto const& step = this->spec.steps[i];
+        auto const& entry = this->steps[i];
+        if (!step.is_lasting) {
+            double const waiting = entry.idle;
+            double const runs = step.count - entry.done - entry.idle;
+            sum += (waiting + left_of_run * runs) * work_of_task(step);
+        }
+    }
+    return sum;
+}
+
 job_progress job_entry::progress() const
 {
     job_progress result{.state = this->state};
@@ -190,6 +234,9 @@
     job.spec = std::move(spec);
     job.seen_at = now;
     find_chains(job);
+    for (auto const& step : job.spec.steps) {
+        job.work += step.count * work_of_task(step);
+    }
     job.has_racing_step =
         std::any_of(job.spec.steps.begin(), job.spec.steps.end(), is_racing);
     job.steps.resize(job.spec.occurrences() * job.spec.steps.size());
--- a/libs/jobs/src/job_table.hpp
+++ b/libs/jobs/src/job_table.hpp
@@ -1,6 +1,7 @@
 /// The jobs that a leader knows, with the state of each task.
 #pragma once
 
+#include "dispatch_order.hpp"
 #include "obstacle.hpp"
 
 #include "foxtaillift/base/clock.hpp"
@@ -133,7 +134,11 @@
     std::size_t idle = 0;
     base::instant wait_logged_at{-1'000'000};
     std::optional<waiting_task> last_wait{};
-    base::duration chain{};                     ///< longest chain of estimates
+    /// Its place in the order of work, by the last decisions; `candidate` says
+    /// nothing.
+    std::optional<dispatch_entry> dispatch{};
+    double work = 0;        ///< of all tasks, by estimates [core-ms]
+    base::duration chain{}; ///< longest chain of estimates
     std::vector<base::duration> chain_before{}; ///< by step, without it
     std::vector<base::duration> chain_after{};  ///< by step, without it
     bool has_racing_step = false;               ///< see is_racing()
@@ -152,6 +157,12 @@
     is_ready(std::uint32_t occurrence, std::uint32_t step) const;
     /// Tasks without a run whose steps may start; times are not regarded.
     [[nodiscard]] std::size_t waiting_tasks() const;
+    /// The longest chain of estimates of what is not done. Steps whose tasks
+    /// all have runs count as done, and timed jobs have no chain.
+    [[nodiscard]] base::duration chain_left() const;
+    /// By estimates [core-ms]; half of it where a task has a run. Nothing for
+    /// timed and lasting jobs.
+    [[nodiscard]] double work_left() const;
     [[nodiscard]] job_progress progress() const;
     [[nodiscard]] std::size_t tasks_in_occurrence() const;
 };
--- a/libs/jobs/src/scheduler.cpp
+++ b/libs/jobs/src/scheduler.cpp
@@ -323,6 +323,18 @@
     return count;
 }
 
+namespace
+{
+
+void add_prospect(fleet_load::queue_load& load, std::optional<prospect> found)
+{
+    load.in_time += found == prospect::in_time ? 1 : 0;
+    load.late += found == prospect::late ? 1 : 0;
+    load.worthless += found == prospect::worthless ? 1 : 0;
+}
+
+} // namespace
+
 fleet_load scheduler::load(base::instant now) const
 {
     fleet_load result;
@@ -365,6 +377,7 @@
         ++queue.jobs;
         queue.running_tasks += job->open_runs;
         queue.waiting_tasks += job->waiting_tasks();
+        add_prospect(queue, this->impl->prospect_of_job(*job, now));
         this->impl->add_lasting_waits(result, *job, now);
     }
     return result;
--- a/libs/jobs/src/scheduler_core.hpp
+++ b/libs/jobs/src/scheduler_core.hpp
@@ -6,6 +6,7 @@
 #include "foxtaillift/jobs/scheduler.hpp"
 
 #include "answer_time.hpp"
+#include "dispatch_order.hpp"
 #include "filling_mix.hpp"
 #include "job_table.hpp"
 #include "placement.hpp"
@@ -175,6 +176,20 @@
 std::map<std::size_t, std::size_t>
 runs_by_worker(job_entry const& job, std::size_t first, std::size_t count);
 
+/// Jobs that may start or race, with what they compete for.
+struct dispatch_input
+{
+    std::vector<dispatch_candidate> candidates{};
+    std::vector<job_entry*> jobs{}; ///< of the candidates
+    std::vector<kind_load> kinds{};
+    std::vector<dispatch_pool> pools{};
+    std::vector<double> pool_needs{}; ///< see find_room()
+    std::vector<double> pool_works{}; ///< of the candidates [core-ms]
+    std::unordered_map<queue const*, std::size_t> kind_numbers{};
+    /// Of the ordinary tasks of a service; filling ones have the next number.
+    std::map<std::string_view, std::size_t> pool_numbers{};
+};
+
 class scheduler::implementation
 {
 public:
@@ -285,6 +300,9 @@
     /// By the configuration, or by the job's own terms if that does not name
     /// its queue; null if neither is known.
     [[nodiscard]] queue const* queue_of(job_entry const& job) const;
+    /// Nothing for lasting and timed jobs, and without a queue.
+    [[nodiscard]] std::optional<prospect>
+    prospect_of_job(job_entry const& job, base::instant now) const;
     /// Callers who ask for the queue of this name mean this job, too.
     [[nodiscard]] bool
     is_asked_for(job_entry const& job, std::string_view queue) const;
@@ -316,6 +334,8 @@
     worker_table workers;
     interference_model interference;
     filling_mix mix;
+    dispatch_order dispatch;
+    dispatch_input dispatch_from; ///< of the current run; keeps its memory
     std::vector<unplaceable> unplaced;
     std::size_t starts_left = 0;    ///< in the current run
     std::size_t next_candidate = 0; ///< where the next search begins
@@ -559,6 +579,18 @@
     [[nodiscard]] std::optional<base::duration> time_until_room(
         std::size_t worker, task_search const& search, base::instant now) const;
 
+    // scheduler_dispatch.cpp
+    /// Sets `dispatch` to the order of the jobs that may start or race.
+    void arrange_jobs(base::instant now);
+    void add_candidate(
+        job_entry& job,
+        std::string_view id,
+        queue const& queue,
+        base::instant now);
+    std::size_t pool_of(job_entry const& job, queue const& queue);
+    /// Sets the processors for which the jobs of each pool compete.
+    void find_room();
+
     // scheduler_placing.cpp
     void place(
         std::vector<worker_order>& orders,
--- a/libs/jobs/src/scheduler_jobs.cpp
+++ b/libs/jobs/src/scheduler_jobs.cpp
@@ -23,6 +23,7 @@
         .need = step.need,
         .is_filling = step.is_filling,
         .is_serving = step.is_lasting && step.tail_target_ms > 0,
+        .is_lasting = step.is_lasting,
         .tail_target_ms = step.tail_target_ms,
         .image = this->interference.number_of(step.image)};
 }
--- a/libs/jobs/src/scheduler_placing.cpp
+++ b/libs/jobs/src/scheduler_placing.cpp
@@ -1,6 +1,5 @@
 #include "placement.hpp"
 #include "scheduler_core.hpp"
-#include "urgency.hpp"
 
 #include <algorithm>
 #include <tuple>
@@ -12,15 +11,6 @@
 namespace
 {
 
-/// What a job can still earn. Under overload jobs that are late anyway must not
-/// make others late, so these go first.
-enum class chance_of_worth
-{
-    full,
-    late,
-    none,
-};
-
 /// A copy starts once a run has taken this many times its estimate.
 constexpr std::int64_t straggler_factor = 2;
 constexpr base::duration straggler_least = base::milliseconds(600);
@@ -59,57 +49,15 @@
 void scheduler::implementation::place(
     std::vector<worker_order>& orders, base::instant now, std::int64_t wall_ms)
 {
-    // Short jobs go before lasting ones, which would keep what they get: where
-    // a fleet has no room for all, short work would wait behind them for good.
-    // Lasting tasks that have waited for long go first all the same.
-    struct rank
-    {
-        std::int64_t priority = 0;
-        chance_of_worth chance = chance_of_worth::full;
-        bool is_lasting = false;
-        std::int64_t due_ms = 0;
-        std::string const* id =
-            nullptr; ///< so that ties do not depend on addresses
-        job_entry* job = nullptr;
-    };
-    std::vector<rank> waiting;
+    // Lasting tasks that have waited for long go first, whatever the order.
+    this->arrange_jobs(now);
+    auto const& candidates = this->dispatch_from.jobs;
     std::vector<job_entry*> starving;
-    for (auto& [id, job] : this->jobs) {
-        bool const has_work =
-            job->idle > 0 || (job->has_racing_step && job->open_runs > 0);
-        if (is_final(job->state) || !has_work) {
-            continue;
-        }
-        if (!this->is_recovered && job->is_inherited) {
-            continue;
-        }
-        auto const* const queue = this->queue_of(*job);
-        if (queue == nullptr) {
-            continue;
-        }
-        auto const objective = objective_of(*job, *queue);
-        bool const is_worthless =
-            now > job->seen_at + objective * worthless_factor;
-        bool const is_lasting = job->spec.steps.front().is_lasting;
-        bool const is_late = now > job->seen_at + objective;
-        auto const chance = is_lasting || !is_late ? chance_of_worth::full
-                            : !is_worthless        ? chance_of_worth::late
-                                                   : chance_of_worth::none;
-        waiting.push_back(
-            {.priority = queue->priority,
-             .chance = chance,
-             .is_lasting = is_lasting,
-             .due_ms = (job->seen_at + objective).ms,
-             .id = &id,
-             .job = job.get()});
+    for (auto* const job : candidates) {
         if (has_starving_task(*job, now)) {
-            starving.push_back(job.get());
+            starving.push_back(job);
         }
     }
-    std::sort(waiting.begin(), waiting.end(), [](rank const& a, rank const& b) {
-        return std::tie(a.priority, a.chance, a.is_lasting, a.due_ms, *a.id) <
-               std::tie(b.priority, b.chance, b.is_lasting, b.due_ms, *b.id);
-    });
     std::erase_if(this->unplaced, [&](unplaceable const& failed) {
         return failed.until <= now;
     });
@@ -128,8 +76,8 @@
     for (auto* const job : starving) {
         this->keep_room(*job, now);
     }
-    for (auto const& entry : waiting) {
-        auto& job = *entry.job;
+    for (auto const& entry : this->dispatch.entries()) {
+        auto& job = *candidates[entry.candidate];
         if (job.idle > 0) {
             this->place_job(job, orders, now, wall_ms);
         }
--- a/libs/jobs/src/urgency.cpp
+++ b/libs/jobs/src/urgency.cpp
@@ -13,10 +13,6 @@
 constexpr double late_urgency = 0.3;
 constexpr double worthless_urgency = 0.05;
 
-/// A run that needs more than its full speed by this much will be late; the
-/// rest is the error of estimates.
-constexpr double hopeless_speed = 1.3;
-
 /// Less progress says little of a run's speed.
 constexpr int least_progress = 4; // percent
 
@@ -41,6 +37,15 @@
                queue.target_factor * static_cast<double>(job.chain.ms)));
 }
 
+job_timing
+timing_of(job_entry const& job, queue const& queue, base::instant now)
+{
+    return {
+        .age = now - job.seen_at,
+        .objective = objective_of(job, queue),
+        .chain_left = job.chain_left()};
+}
+
 base::duration time_left(run_entry const& run, step const& step)
 {
     return base::milliseconds(static_cast<std::int64_t>(
@@ -62,17 +67,21 @@
         std::max(static_cast<double>(job.chain.ms), before + duration + after);
     double const objective = static_cast<double>(queue.target_latency.ms) +
                              queue.target_factor * chain;
-    double const age = static_cast<double>((now - job.seen_at).ms);
-    if (age > objective * static_cast<double>(worthless_factor)) {
-        return worthless_urgency;
-    }
     double const left =
         after + duration * (1 - std::max(0, run.percent) / all_work);
-    double const time = objective - age;
-    if (time <= 0 || left > time * hopeless_speed) {
+    auto const chance = prospect_of(
+        {.age = now - job.seen_at,
+         .objective = base::milliseconds(static_cast<std::int64_t>(objective)),
+         .chain_left = base::milliseconds(static_cast<std::int64_t>(left))});
+    switch (chance) {
+    case prospect::in_time:
+        return 1;
+    case prospect::late:
         return late_urgency;
+    case prospect::worthless:
+        return worthless_urgency;
     }
-    return 1;
+    return worthless_urgency;
 }
 
 } // namespace foxtaillift::jobs
--- a/libs/jobs/src/views.cpp
+++ b/libs/jobs/src/views.cpp
@@ -100,6 +100,14 @@
     return runs;
 }
 
+json encode_order(dispatch_entry const& place)
+{
+    return {
+        {"class", to_string(place.group)},
+        {"jobs_ahead", place.jobs_ahead},
+        {"core_ms_ahead", static_cast<std::int64_t>(place.work_ahead)}};
+}
+
 json encode_wait(waiting_task const& wait, base::instant now)
 {
     json view = {
@@ -197,6 +205,9 @@
     auto view = encode_summary(inside, *entry, now);
     view["steps"] = encode_steps(*entry);
     view["present"] = encode_runs(inside, *entry, now);
+    if (entry->dispatch && entry->idle > 0) {
+        view["order"] = encode_order(*entry->dispatch);
+    }
     if (entry->last_wait) {
         view["last_wait"] = encode_wait(*entry->last_wait, now);
     }
--- a/libs/jobs/src/worker_table.cpp
+++ b/libs/jobs/src/worker_table.cpp
@@ -17,6 +17,7 @@
     }
     this->used += counted;
     this->unsized_runs += taken.is_unsized ? 1 : 0;
+    this->lasting_processors += taken.is_lasting ? taken.need.processors : 0;
     if (taken.is_serving) {
         this->serving_processors += taken.need.processors;
         this->serving_by_image[taken.image] += taken.need.processors;
@@ -52,6 +53,7 @@
     }
     this->used -= counted;
     this->unsized_runs -= taken.is_unsized ? 1 : 0;
+    this->lasting_processors -= taken.is_lasting ? taken.need.processors : 0;
     if (taken.is_serving) {
         this->serving_processors -= taken.need.processors;
         this->serving_by_image[taken.image] -= taken.need.processors;
--- a/libs/jobs/src/worker_table.hpp
+++ b/libs/jobs/src/worker_table.hpp
@@ -65,6 +65,7 @@
     resources need{};
     bool is_filling = false;
     bool is_serving = false;
+    bool is_lasting = false;
     std::int64_t tail_target_ms = 0;
     image_number image = 0;
     int percent = 100; ///< pace of a filling run, as wanted
@@ -146,6 +147,7 @@
 
     resources used{}; ///< by runs, without filling processors
     resources kept{}; ///< for a starving task, from others
+    std::int64_t lasting_processors = 0; ///< reserved by lasting tasks
     std::int64_t serving_processors = 0;
     std::int64_t filling_processors = 0;
     std::int64_t filling_used = 0; ///< by the last report
--- a/libs/jobs/tests/placing_test.cpp
+++ b/libs/jobs/tests/placing_test.cpp
@@ -230,3 +230,42 @@
     CHECK(started["gang"] == 0);
     CHECK(started["single"] == 3);
 }
+
+// The load: large jobs in a burst at more than the capacity. Guards against
+// small jobs that miss their objectives behind one that takes all of the time,
+// and against an order that changes where there is room for all.
+TEST_CASE("in an overload the work goes to jobs worth most by core-second")
+{
+    for (std::int64_t const processors : {1000, 8000}) {
+        CAPTURE(processors);
+        scheduler_fixture test;
+        test.decisions.set_queues(
+            {{.name = "q",
+              .service = "s",
+              .max_attempts = 2,
+              .target_factor = 1,
+              .target_latency = base::milliseconds(2000)}});
+        test.list("a", processors);
+        test.take<look_order>();
+        step const second{
+            .count = 1,
+            .need = {.processors = 1000},
+            .estimate = base::milliseconds(1000)};
+        step large = second;
+        large.count = 9;
+        test.add("large", large);
+        test.wait(10);
+        test.add("small1", second);
+        test.add("small2", second);
+        test.answer("a", test.report());
+        auto const starts = test.take<start_order>();
+        REQUIRE(!starts.empty());
+        bool const is_overload = processors == 1000;
+        CHECK(starts[0].run.task.job == (is_overload ? "small1" : "large"));
+        auto const queue = test.decisions.load(test.now).queues.at("q");
+        CHECK(queue.in_time == 3);
+        CHECK(queue.late == 0);
+        test.wait(5000);
+        CHECK(test.decisions.load(test.now).queues.at("q").late == 3);
+    }
+}
--- a/libs/jobs/tests/urgency_test.cpp
+++ b/libs/jobs/tests/urgency_test.cpp
@@ -71,3 +71,18 @@
     CHECK(urgency_of(job, wanted, started, 0, after(2500)) == 1);
     CHECK(urgency_of(job, wanted, started, 0, after(4000)) < 0.5);
 }
+
+// Guards against paces that favour a run whose job the order of work has put
+// last.
+TEST_CASE("a job that cannot earn anything any more is taken as worthless")
+{
+    auto const job = two_steps();
+    run_entry const started{.percent = 0, .first_percent = 0};
+    // Of 15 s, 1 s is left for 2 s of work.
+    double const hopeless = urgency_of(job, wanted, started, 0, after(14'000));
+    CHECK(hopeless == urgency_of(job, wanted, started, 0, after(20'000)));
+    CHECK(hopeless < urgency_of(job, wanted, started, 0, after(12'500)));
+    CHECK(
+        prospect_of(timing_of(job, wanted, after(14'000))) ==
+        prospect::worthless);
+}
--- a/libs/jobs/tests/views_test.cpp
+++ b/libs/jobs/tests/views_test.cpp
@@ -6,6 +6,7 @@
 
 #include <nlohmann/json.hpp>
 
+namespace base = foxtaillift::base;
 using namespace foxtaillift::jobs;
 using foxtaillift::jobs::testing::scheduler_fixture;
 using nlohmann::json;
@@ -68,3 +69,25 @@
     CHECK(answer.status == 421);
     CHECK(json::parse(answer.body)["leader"] == "10.0.0.1:7720");
 }
+
+// Guards against an on-call engineer who cannot see behind what a job waits.
+TEST_CASE("operators see the place of a waiting job in the order of work")
+{
+    scheduler_fixture test;
+    test.list("a", 1000);
+    test.take<look_order>();
+    test.answer("a", test.report());
+    step const second{
+        .count = 1,
+        .need = {.processors = 1000},
+        .estimate = base::milliseconds(1000)};
+    test.add("first", second);
+    test.wait(300); // late by now: 0.7 s are left for 1 s of work
+    test.add("second", second);
+    test.take<start_order>();
+    auto const job = read(test, "/v1/jobs/first", 200);
+    CHECK(job["order"]["class"] == "late");
+    CHECK(job["order"]["jobs_ahead"] == 1);
+    CHECK(job["order"]["core_ms_ahead"] == 1000);
+    CHECK_FALSE(read(test, "/v1/jobs/second", 200).contains("order"));
+}
