--- a/libs/jobs/include/foxtaillift/jobs/canceller.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/canceller.hpp
@@ -112,8 +112,13 @@
                 this->host->note_store(result.status, sent_at);
                 if (result.status != store_status::done) {
                     this->cancel_elsewhere(wanted, std::move(callback));
-                } else if (result.rows.empty()) {
-                    this->write_tombstone(wanted, std::move(callback));
+                    return;
+                }
+                auto const rejection =
+                    rejection_version(result.rows, wanted.job);
+                if (result.rows.empty() || rejection > 0) {
+                    this->write_tombstone(
+                        wanted, rejection, std::move(callback));
                 } else {
                     callback(
                         has_tombstone(result.rows, wanted.job)
@@ -123,7 +128,11 @@
             }));
     }
 
-    void write_tombstone(cancellation const& wanted, outcome_callback callback)
+    /// In the place of a rejection row if its version is not 0.
+    void write_tombstone(
+        cancellation const& wanted,
+        std::int64_t rejection,
+        outcome_callback callback)
     {
         auto const now = this->host->ports.now();
         auto const kept = this->host->options.leading.recording.ended_kept;
@@ -140,7 +149,7 @@
         row_change change;
         change.conditions = {
             {tables::jobs, submission_key(wanted.job), 0},
-            {tables::ended, wanted.job, 0}};
+            {tables::ended, wanted.job, rejection}};
         change.puts = {
             {.table = tables::ended,
              .key = wanted.job,
--- a/libs/jobs/include/foxtaillift/jobs/candidate.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/candidate.hpp
@@ -160,7 +160,7 @@
     {
         for (auto const& address : this->host->reach.take_questions(at)) {
             this->host->ports.ask(
-                address, {.kind = peer_kind::ping},
+                address, {.kind = peer_kind::ping, .knows_rejections = true},
                 this->bound([this](std::optional<peer_reply> const& reply) {
                     if (!reply) {
                         return;
@@ -212,7 +212,8 @@
              .size = is_away ? 0 : options.electing.size,
              .address = options.peer_address,
              .failure_domain = options.failure_domain,
-             .relay_size = options.electing.size},
+             .relay_size = options.electing.size,
+             .knows_rejections = true},
             this->bound([this](std::optional<peer_reply> reply) {
                 this->is_busy = false;
                 this->on_ping(std::move(reply));
--- a/libs/jobs/include/foxtaillift/jobs/coordinator.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/coordinator.hpp
@@ -81,7 +81,7 @@
     /// Makes the job durable, with the terms of its queue. `deadline` bounds
     /// the time until the callback.
     void
-    submit(job_spec job, base::duration deadline, outcome_callback callback)
+    submit(job_spec job, base::duration deadline, submission_callback callback)
     {
         job.terms = this->host->configuration.find_queue(job.queue);
         this->submissions->submit(job, deadline, std::move(callback));
@@ -127,11 +127,17 @@
             this->host->led->submit(
                 {.job = request.name,
                  .value = request.value,
-                 .callback = [answer, reply = std::move(reply)](
-                                 store_status status) mutable {
-                     answer.submission = status;
-                     reply(answer);
-                 }});
+                 .callback =
+                     [answer, reply = std::move(reply)](
+                         submission_answer const& found) mutable {
+                         answer.submission = found.status;
+                         answer.retry_after = found.retry_after;
+                         answer.rejection_version = found.rejection_version;
+                         answer.rejection_age = found.rejection_age;
+                         reply(answer);
+                     },
+                 .replaces = request.replaces},
+                this->host->use_of_rejections(request.knows_rejections));
             return;
         case peer_kind::cancel:
             this->cancel(
--- a/libs/jobs/include/foxtaillift/jobs/host_state.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/host_state.hpp
@@ -44,6 +44,14 @@
 
 using outcome_callback = std::function<void(request_outcome)>;
 
+/// What a caller is told of a submission.
+struct submission_outcome
+{
+    request_outcome outcome = request_outcome::unknown;
+    base::duration retry_after{}; ///< if rejected
+};
+using submission_callback = std::function<void(submission_outcome const&)>;
+
 template <host_ports Ports>
 struct host_state
 {
@@ -88,6 +96,9 @@
     {
         auto const now = this->ports.now();
         this->reach.on_pinged(ping.address, now);
+        if (!ping.knows_rejections) {
+            this->earlier_version_at = now;
+        }
         if (!ping.address.empty()) {
             this->pinging[ping.address] = {
                 .failure_domain = ping.failure_domain,
@@ -99,6 +110,18 @@
         });
     }
 
+    /// What a submission of a host may end as. A host of an earlier version
+    /// takes a rejection row for a job that was accepted, so that no row is
+    /// written while such a host may get a caller who comes again.
+    [[nodiscard]] rejection_use use_of_rejections(bool knows_rejections) const
+    {
+        bool const is_mixed = this->ports.now() - this->earlier_version_at <=
+                              this->options.leading.recording.ended_kept;
+        return !knows_rejections ? rejection_use::none
+               : is_mixed        ? rejection_use::known
+                                 : rejection_use::allowed;
+    }
+
     /// Hosts that have the processors to relay this leader's orders and have
     /// pinged it lately, in the order of their addresses.
     [[nodiscard]] std::vector<relay_host> relay_hosts() const
@@ -134,6 +157,8 @@
     std::set<std::string, std::less<>> evacuated{}; ///< failure domains
     std::shared_ptr<leader<Ports>> led{};
     base::instant leader_answered_at{-1'000'000};
+    /// The last ping of a host that does not know rejections.
+    base::instant earlier_version_at{-1'000'000};
 
     std::map<std::string, pinging_host> pinging{}; ///< by address
 };
--- a/libs/jobs/include/foxtaillift/jobs/inherited_state.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/inherited_state.hpp
@@ -12,6 +12,7 @@
 #include "foxtaillift/jobs/worker_record.hpp"
 #include "foxtaillift/jobs/worker_roster.hpp"
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -33,6 +34,7 @@
     std::map<std::string, job_progress> progress{};         ///< by job
     std::vector<std::pair<std::string, job_state>> ended{}; ///< whose rows are
                                                             ///< gone
+    std::map<std::string, std::int64_t> rejections{}; ///< versions, by job
 };
 
 /// Logs a row that cannot be read.
@@ -143,6 +145,8 @@
             for (auto const& row : result.rows) {
                 if (auto const ended = parse_job_state(row.value)) {
                     this->state.ended.emplace_back(row.key, *ended);
+                } else if (row.value == rejection_value) {
+                    this->state.rejections[row.key] = row.version;
                 }
             }
             if (result.has_more && !result.rows.empty()) {
--- a/libs/jobs/include/foxtaillift/jobs/leader.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/leader.hpp
@@ -43,6 +43,16 @@
     base::duration decision_interval = base::milliseconds(10);
     /// Between log lines of the fleet's load.
     base::duration load_interval = base::milliseconds(1000);
+    /// From a takeover until jobs may be rejected for lack of capacity.
+    base::duration rejecting_after = base::milliseconds(5000);
+};
+
+/// How a submission may end.
+enum class rejection_use
+{
+    allowed, ///< it may be rejected
+    known,   ///< it is not rejected, but may find that it was before
+    none,    ///< its host does not know what a rejection is
 };
 
 /// Exists from a takeover until the leadership is lost.
@@ -168,17 +178,27 @@
     }
 
     /// Makes a submission durable and adds its job. The callback comes once,
-    /// with `done`, `not_done`, `unknown` or, for a job that was cancelled
-    /// before, `conflict`, possibly from within the call.
-    void submit(submission_batch::submission wanted)
+    /// with `done`, `not_done`, `unknown`, for a job that was cancelled before
+    /// `conflict`, for one that was rejected before `barred`, or `rejected` if
+    /// it cannot be served, possibly from within the call.
+    void submit(submission_batch::submission wanted, rejection_use use)
     {
         if (this->decisions.state_of(wanted.job)) {
-            wanted.callback(store_status::done); // accepted before
-        } else if (!this->loaded) {
-            wanted.callback(store_status::not_done);
-        } else {
-            this->writer->submit(std::move(wanted));
+            wanted.callback({.status = store_status::done}); // accepted before
+            return;
+        }
+        if (!this->loaded) {
+            wanted.callback({.status = store_status::not_done});
+            return;
+        }
+        if (use == rejection_use::none) {
+            hide_rejections(wanted);
+        } else if (
+            use == rejection_use::allowed && this->may_reject() &&
+            wanted.replaces == this->writer->rejection_version_of(wanted.job)) {
+            this->decide_admission(wanted); // not for what is barred anyway
         }
+        this->writer->submit(std::move(wanted));
     }
 
     /// Gives the leadership up, to a host of this size if it is not 0, with the
@@ -240,6 +260,55 @@
         };
     }
 
+    /// Earlier leaders' work is known by then, and the rate of the fleet has
+    /// settled.
+    [[nodiscard]] bool may_reject() const
+    {
+        return this->ports.now() - this->taken_over_at >=
+                   this->options.rejecting_after &&
+               this->writer->may_reject();
+    }
+
+    /// For a host of an earlier version, which takes the row of a rejection for
+    /// that of an accepted job.
+    static void hide_rejections(submission_batch::submission& wanted)
+    {
+        wanted.callback = [callback = std::move(wanted.callback)](
+                              submission_answer const& answer) {
+            bool const is_hidden = answer.status == store_status::rejected ||
+                                   answer.status == store_status::barred;
+            callback(
+                {.status = is_hidden ? store_status::conflict : answer.status});
+        };
+    }
+
+    /// Makes a rejection of it if the job cannot be served.
+    void decide_admission(submission_batch::submission& wanted)
+    {
+        std::optional<job_spec> job;
+        try {
+            job = decode_job(wanted.value);
+        } catch (base::error const&) {
+            return; // it is reported once it is accepted
+        }
+        auto const found =
+            this->decisions.decide_admission(*job, this->ports.now());
+        if (!found.is_rejected) {
+            return;
+        }
+        wanted.is_rejection = true;
+        wanted.retry_after = found.retry_after;
+        this->ports.log(base::event_line{"job_rejected"}
+                            .add("job", wanted.job)
+                            .add("queue", job->queue)
+                            .add("predicted_ms", found.predicted)
+                            .add("limit_ms", found.limit)
+                            .add("work_ahead_ms", found.work_ahead_ms)
+                            .add("processors", found.processors)
+                            .add("returned", found.is_returned)
+                            .add("retry_after_ms", found.retry_after));
+    }
+
     void stop_activity()
     {
         this->orders->stop();
@@ -356,7 +425,11 @@
         }
         if (key.is_cancellation) {
             this->decisions.cancel_job(key.job, now);
-        } else if (!this->decisions.is_present(key.job)) {
+            this->wake();
+            return;
+        }
+        this->writer->forget_rejection(key.job);
+        if (!this->decisions.is_present(key.job)) {
             this->add_submitted(key.job, row.value);
         }
         this->wake();
@@ -432,6 +505,7 @@
                 .add("paces", sent.paces)
                 .add("answer_ms", this->decisions.usual_answer_time())
                 .add("tick_gap_ms", this->longest_tick_gap));
+        this->log_admission(now);
         this->longest_tick_gap = {};
         this->decision_count = 0;
         this->deciding = {};
@@ -444,6 +518,24 @@
         }
     }
 
+    void log_admission(base::instant now)
+    {
+        for (auto const& each : this->decisions.admission(now)) {
+            if (!each.is_overloaded) {
+                continue;
+            }
+            this->ports.log(base::event_line{"overload"}
+                                .add("service", each.service)
+                                .add("kind", each.kind)
+                                .add("since_ms", each.overloaded)
+                                .add("waiting_work_ms", each.waiting_ms)
+                                .add("processors", each.processors)
+                                .add("rejected", each.rejected)
+                                .add("returned", each.returned)
+                                .add("rows", this->writer->rejection_count()));
+        }
+    }
+
     /// Runs the decisions once for the events of a decision interval.
     void wake()
     {
--- a/libs/jobs/include/foxtaillift/jobs/leader_record.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/leader_record.hpp
@@ -30,6 +30,17 @@
     bool has_tombstone = false;
 };
 
+/// A rejection row that nobody came back for.
+struct expired_rejection
+{
+    /// The row goes only if it has this version: another host may have accepted
+    /// the job since, or a caller may have cancelled it.
+    static constexpr std::size_t entries = 2;
+
+    std::string job{};
+    std::int64_t version = 0;
+};
+
 struct leader_record
 {
     std::uint64_t sequence = 0; ///< of writes in this leadership
@@ -38,6 +49,7 @@
     std::optional<std::string> learned{};  ///< see scheduler::learned()
     std::optional<recorded_lease> lease{}; ///< nothing: as recorded before
     std::vector<forgotten_job> forgotten{};
+    std::vector<expired_rejection> expired{};
     std::optional<leadership> successor{}; ///< gives the leadership up
     /// Workers that do not answer; nothing: those named before.
     std::optional<std::vector<closed_worker>> closed{};
--- a/libs/jobs/include/foxtaillift/jobs/operator_interface.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/operator_interface.hpp
@@ -78,8 +78,9 @@
         }
         this->service->submit(
             job, answer_time,
-            [id = job.id, answer = std::move(answer)](request_outcome outcome) {
-                answer(make_answer(id, "accepted", outcome));
+            [id = job.id,
+             answer = std::move(answer)](submission_outcome const& found) {
+                answer(make_answer(id, "accepted", found.outcome));
             });
     }
 
@@ -113,6 +114,11 @@
             return make_refusal(
                 409, "cancelled",
                 "job " + id + " was cancelled before it was accepted");
+        case request_outcome::rejected:
+            return make_refusal(
+                429, "overloaded",
+                "there is too little capacity to serve job " + id +
+                    " in time; it was not accepted");
         case request_outcome::unknown:
             break;
         }
--- a/libs/jobs/include/foxtaillift/jobs/peer_message.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/peer_message.hpp
@@ -23,6 +23,9 @@
     unknown, ///< may have had or may yet have an effect
     /// Of a submission: the job was cancelled before, and never runs.
     cancelled,
+    /// Of a submission: there is no capacity to serve the job in time. It runs
+    /// only if it is submitted again.
+    rejected,
 };
 
 std::string_view to_string(request_outcome outcome);
@@ -52,6 +55,12 @@
     std::int64_t relay_size = 0;
     /// Of a relay: at most the time on the clock of the asked host.
     std::int64_t clock_ms = 0;
+    /// Of a submission: the version of the rejection row that it may replace.
+    std::int64_t replaces = 0;
+    /// Of a ping and a submission: the asking host understands rejections.
+    /// Hosts of earlier versions take a rejection row for a job that was
+    /// accepted.
+    bool knows_rejections = false;
 };
 
 struct peer_reply
@@ -65,6 +74,9 @@
     std::optional<std::size_t> pending{};
     std::optional<store_status> submission{};
     std::optional<request_outcome> cancellation{};
+    base::duration retry_after{};       ///< of a submission that is rejected
+    std::int64_t rejection_version = 0; ///< of a submission that is barred
+    base::duration rejection_age{}; ///< for which the row was there, at least
     /// The newest leader that the answering host knows, by its token: a host
     /// that cannot read the store learns of a change from others. 0: none.
     std::int64_t leader_token = 0;
--- a/libs/jobs/include/foxtaillift/jobs/record_writer.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/record_writer.hpp
@@ -8,6 +8,7 @@
 #include "foxtaillift/jobs/host_ports.hpp"
 #include "foxtaillift/jobs/inherited_state.hpp"
 #include "foxtaillift/jobs/leader_record.hpp"
+#include "foxtaillift/jobs/rejection_table.hpp"
 #include "foxtaillift/jobs/rows.hpp"
 #include "foxtaillift/jobs/scheduler.hpp"
 #include "foxtaillift/jobs/submission_batch.hpp"
@@ -20,6 +21,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <span>
 #include <string>
 #include <utility>
 #include <vector>
@@ -47,6 +49,9 @@
     /// the older ones one write removes.
     base::duration ended_kept = base::seconds(150);
     std::size_t ended_in_commit = 9;
+    /// Rejection rows; at the limit jobs are accepted. Nearly 150 s of the
+    /// highest rate of the deployments (28 jobs/s), if half are rejected.
+    std::size_t rejection_limit = 2000;
 };
 
 /// What the owner of a record_writer learns.
@@ -105,33 +110,56 @@
         for (auto const& [job, final_state] : state.ended) {
             this->ended.push_back({this->ports.now(), {.job = job}});
         }
+        for (auto const& [job, version] : state.rejections) {
+            this->rejected.add(job, version, this->ports.now());
+        }
     }
 
     /// Has the tombstone of the job removed in time. Call once for each.
     void add_tombstone(std::string const& job)
     {
+        this->rejected.remove(job);
         this->ended.push_back(
             {this->ports.now(), {.job = job, .has_tombstone = true}});
     }
 
-    /// The callback comes once, with `done`, `not_done`, `unknown` or, for a
-    /// job that was cancelled before, `conflict`, possibly from within the
-    /// call.
+    /// The callback comes once, with `done`, `not_done`, `unknown`, for a job
+    /// that was cancelled before `conflict`, for one that was rejected before
+    /// `barred`, or for a rejection `rejected`, possibly from within the call.
     void submit(submission_batch::submission wanted)
     {
+        auto const rejection = this->rejected.version_of(wanted.job);
+        if (wanted.is_rejection) {
+            wanted.replaces = rejection;
+        } else if (
+            rejection > 0 && wanted.replaces != rejection &&
+            !this->submissions.is_held(wanted.job)) {
+            wanted.callback(
+                {.status = store_status::barred,
+                 .rejection_version = rejection,
+                 .rejection_age =
+                     this->rejected.age_of(wanted.job, this->ports.now())});
+            return;
+        }
         // A caller who comes again while the write that holds his job is out
         // must not hear that the job certainly does not run.
         bool const is_refused =
             (this->write->has_failed() || this->write->is_silent()) &&
             !this->submissions.is_taken(wanted.job);
         if (this->is_resigning || this->is_stopped || is_refused) {
-            wanted.callback(store_status::not_done);
+            wanted.callback({.status = store_status::not_done});
             return;
         }
         this->submissions.add(std::move(wanted));
         this->commit_soon();
     }
 
+    /// The job was accepted, so that its rejection row is gone.
+    void forget_rejection(std::string const& job)
+    {
+        this->rejected.remove(job);
+    }
+
     /// Writes what is to be written, if a write is due.
     void commit()
     {
@@ -213,6 +241,21 @@
         return this->newest;
     }
     [[nodiscard]] bool is_giving_up() const { return this->is_resigning; }
+    /// The version of the job's rejection row, as far as is known; 0: none.
+    [[nodiscard]] std::int64_t
+    rejection_version_of(std::string const& job) const
+    {
+        return this->rejected.version_of(job);
+    }
+    [[nodiscard]] std::size_t rejection_count() const
+    {
+        return this->rejected.size();
+    }
+    /// Another rejection row may be written.
+    [[nodiscard]] bool may_reject() const
+    {
+        return this->rejected.size() < this->options.rejection_limit;
+    }
 
     /// Writes since the last call, and the time until they were answered.
     struct write_load
@@ -268,7 +311,7 @@
             .sequence = this->record.sequence,
             .jobs = this->decisions.take_commit(
                 this->options.job_rows_in_commit -
-                this->submissions.taken_count() * submission_batch::entries),
+                this->submissions.taken_entries()),
             .workers = this->roster.to_record(this->decisions, now)};
         bool const is_closed_changed = this->prepare_closed(now);
         bool const is_due =
@@ -310,10 +353,17 @@
             entries += forgotten.entries();
             if (entries > this->options.ended_in_commit ||
                 now - ended_at <= this->options.ended_kept) {
-                return;
+                entries -= forgotten.entries();
+                break;
             }
             this->record.forgotten.push_back(forgotten);
         }
+        auto const room = (this->options.ended_in_commit - entries) /
+                          expired_rejection::entries;
+        this->record.expired = this->rejected.expired(
+            now - this->options.ended_kept, room, [this](auto const& job) {
+                return this->submissions.is_taken(job);
+            });
     }
 
     void record_successor()
@@ -403,10 +453,37 @@
             this->on_commit(sent_at); // by an earlier copy
             return;
         }
+        this->drop_changed_rejections(result.current);
+        this->note_rejections(result.current);
         this->submissions.on_conflict(result.current);
         this->write->send();
     }
 
+    /// Rejection rows that another host or a cancellation has replaced are not
+    /// removed.
+    void drop_changed_rejections(std::span<row const> current)
+    {
+        std::erase_if(this->record.expired, [&](auto const& each) {
+            bool const is_changed =
+                rejection_version(current, each.job) != each.version;
+            if (is_changed) {
+                this->rejected.remove(each.job);
+            }
+            return is_changed;
+        });
+    }
+
+    /// Rows that were not known must be removed in time, too.
+    void note_rejections(std::span<row const> current)
+    {
+        for (auto const& each : current) {
+            if (each.table == tables::ended && each.value == rejection_value &&
+                this->rejected.version_of(each.key) != each.version) {
+                this->rejected.add(each.key, each.version, this->ports.now());
+            }
+        }
+    }
+
     void on_deposed()
     {
         if (this->is_resigning) {
@@ -436,9 +513,17 @@
         this->load.time += this->ports.now() - sent_at;
         this->renewed_at = sent_at;
         this->written_at = sent_at;
+        // The rejection rows are written with the beat.
+        for (auto const& job : this->submissions.rejections()) {
+            this->rejected.add(job, this->lead.beat_version, this->ports.now());
+        }
         for (auto const& [job, value] : this->submissions.on_done()) {
+            this->rejected.remove(job);
             this->events.on_submitted(job, value);
         }
+        for (auto const& each : this->record.expired) {
+            this->rejected.remove(each.job);
+        }
         this->note_recorded(sent_at);
         if (this->record.successor) {
             this->finish_resigning();
@@ -528,6 +613,7 @@
     base::duration lease_recorded{}; ///< 0: none in this leadership
     /// Jobs of the table `ended`, oldest first.
     std::deque<std::pair<base::instant, forgotten_job>> ended{};
+    rejection_table rejected{};
     base::instant renewed_at; ///< when the last acknowledged write was sent
     base::instant written_at;
     base::instant learned_at;
--- a/libs/jobs/include/foxtaillift/jobs/rows.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/rows.hpp
@@ -53,6 +53,9 @@
     not_done,     ///< certainly nothing was changed
     unknown,      ///< may have been or may yet be carried out
     history_lost, ///< the changes since the given version are not kept
+    // Of a submission only:
+    rejected, ///< not accepted, which is durable; see `rejection_value`
+    barred,   ///< nothing was changed: the job was rejected before
 };
 
 std::string_view to_string(store_status status);
@@ -87,6 +90,11 @@
 /// has no row of its job, so that no later one is carried out.
 inline constexpr char tombstone_value[] = "tombstone";
 
+/// In the place of a final state in the table `ended`: the job was not accepted
+/// for lack of capacity. Only a submission that names the version of this row
+/// is accepted, and removes it.
+inline constexpr char rejection_value[] = "rejected";
+
 namespace lead_keys
 {
 inline constexpr char epoch[] = "epoch"; ///< changes with each takeover
@@ -131,4 +139,7 @@
 /// Whether the tombstone of the job is among the rows.
 bool has_tombstone(std::span<row const> rows, std::string_view job);
 
+/// The version of the job's rejection row among the rows; 0: there is none.
+std::int64_t rejection_version(std::span<row const> rows, std::string_view job);
+
 } // namespace foxtaillift::jobs
--- a/libs/jobs/include/foxtaillift/jobs/scheduler.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/scheduler.hpp
@@ -93,6 +93,33 @@
     std::map<std::string, queue_load> queues{}; ///< by name
 };
 
+/// Whether a new job can still be worth anything to its caller, and what the
+/// prediction rests on.
+struct admission_verdict
+{
+    bool is_rejected = false;
+    bool is_returned = false; ///< it was rejected before
+    /// If rejected: when there is capacity for it; a second at least.
+    base::duration retry_after{};
+    base::duration predicted{}; ///< until its end, at least
+    base::duration limit{};     ///< after which it is worth nothing
+    double work_ahead_ms = 0;   ///< of one core
+    double processors = 0;      ///< cores that the fleet works with, at most
+};
+
+/// Admission to the workers of one service, of tasks of one kind.
+struct admission_load
+{
+    std::string service{};
+    std::string kind{};          ///< "ordinary" or "filling"
+    bool is_overloaded = false;  ///< more waits than the fleet completes
+    base::duration overloaded{}; ///< for this long
+    double waiting_ms = 0;       ///< work that has not begun, of one core
+    double processors = 0;       ///< cores that the fleet works with, at most
+    std::size_t rejected = 0;    ///< jobs of the service, since the takeover
+    std::size_t returned = 0;    ///< of them, that came again
+};
+
 /// The decisions of a leader. Does no I/O: events go in, orders for workers and
 /// records for the store come out. Time is an argument; it must count while the
 /// host is suspended. Not thread-safe.
@@ -165,6 +192,9 @@
     void on_jobs_read(base::instant stored_before);
     /// A job that is over and whose rows are gone, but for its state.
     void add_ended(std::string job, job_state state);
+    /// Decides on a job that is not known yet. Jobs that last, that are timed
+    /// or that have tasks without an estimate are never rejected.
+    admission_verdict decide_admission(job_spec const& job, base::instant now);
     /// Does nothing if the job is unknown or over.
     void cancel_job(std::string_view job, base::instant now);
 
@@ -251,6 +281,11 @@
     [[nodiscard]] std::size_t running_count() const;
     [[nodiscard]] fleet_load load(base::instant now) const;
     [[nodiscard]] std::size_t job_count() const;
+    /// Services and kinds of tasks that submissions were decided for lately.
+    [[nodiscard]] std::vector<admission_load>
+    admission(base::instant now) const;
+    /// Jobs that were rejected since the takeover, by queue.
+    [[nodiscard]] std::map<std::string, std::size_t> const& rejections() const;
     /// Starts and paces are usually answered after this long.
     [[nodiscard]] base::duration usual_answer_time() const;
 
--- a/libs/jobs/include/foxtaillift/jobs/submitter.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/submitter.hpp
@@ -7,7 +7,10 @@
 #include "foxtaillift/jobs/peer_message.hpp"
 #include "foxtaillift/jobs/progress.hpp"
 #include "foxtaillift/jobs/rows.hpp"
+#include "foxtaillift/jobs/submission_batch.hpp"
 
+#include <algorithm>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -18,8 +21,13 @@
 {
 
 /// The leader writes all that it gets in one change and knows the job at once.
-/// A host that knows no leader writes by itself. A caller is told "refused"
-/// or "cancelled" only if the job certainly does not run.
+/// A host that knows no leader writes by itself. A caller is told "refused",
+/// "cancelled" or "rejected" only if the job certainly does not run.
+///
+/// A job that was rejected is accepted for a request that came after that,
+/// which the leader's answer tells by the age of the rejection. The request
+/// then names the version of its row. A request that came before, or a copy
+/// that is delayed on its way, is without effect.
 template <host_ports Ports>
 class submitter : public std::enable_shared_from_this<submitter<Ports>>
 {
@@ -30,12 +38,15 @@
 
     /// `deadline` bounds the time until the callback.
     void submit(
-        job_spec const& job, base::duration deadline, outcome_callback callback)
+        job_spec const& job,
+        base::duration deadline,
+        submission_callback callback)
     {
         auto request = std::make_shared<submission>();
         request->id = job.id;
         request->value = encode(job);
-        request->give_up_at = this->host->ports.now() + deadline;
+        request->began_at = this->host->ports.now();
+        request->give_up_at = request->began_at + deadline;
         request->callback = std::move(callback);
         this->host->ports.after(deadline, this->bound([this, request] {
             this->finish(
@@ -51,8 +62,10 @@
     {
         std::string id{};
         std::string value{};
+        base::instant began_at{};
         base::instant give_up_at{};
-        outcome_callback callback{};
+        submission_callback callback{};
+        std::int64_t replaces = 0; ///< version of the job's rejection row
         bool may_have_run = false; ///< a copy whose outcome is not known
         bool is_sent = false;      ///< a copy is out
     };
@@ -103,17 +116,31 @@
             {.job = request->id,
              .value = request->value,
              // Held weakly: the leader may outlive its host's service.
-             .callback = [weak = this->weak_from_this(),
-                          request](store_status status) {
-                 if (auto const self = weak.lock()) {
-                     self->on_submitted(request, status);
-                 }
-             }});
+             .callback =
+                 [weak = this->weak_from_this(),
+                  request](submission_answer const& answer) {
+                     if (auto const self = weak.lock()) {
+                         self->on_submitted(request, answer);
+                     }
+                 },
+             .replaces = request->replaces},
+            this->host->use_of_rejections(true));
     }
 
-    void on_submitted(submission_ptr const& request, store_status status)
+    void
+    on_submitted(submission_ptr const& request, submission_answer const& answer)
     {
+        auto const status = answer.status;
         request->is_sent = false;
+        if (status == store_status::rejected) {
+            this->finish(
+                *request, request_outcome::rejected, answer.retry_after);
+            return;
+        }
+        if (status == store_status::barred) {
+            this->submit_over(request, answer);
+            return;
+        }
         if (status == store_status::done) {
             this->finish(*request, request_outcome::accepted);
             return;
@@ -126,6 +153,32 @@
         this->submit_again(request);
     }
 
+    /// The job was rejected. If that was before this request, its caller has
+    /// come again, and the job may be accepted. Otherwise its caller may have
+    /// heard of the rejection by another request, and the row keeps all copies
+    /// of this one without effect.
+    void
+    submit_over(submission_ptr const& request, submission_answer const& answer)
+    {
+        // Clocks of two hosts may differ by 2%.
+        constexpr std::int64_t drift_part = 50;
+        auto const age = answer.rejection_age;
+        auto const open_for = this->host->ports.now() - request->began_at;
+        bool const is_later = open_for < age - age / drift_part;
+        if (!request->callback || !is_later ||
+            request->replaces == answer.rejection_version) {
+            // A leader may not know yet that it is deposed, and that its
+            // successor has accepted the job since.
+            this->finish(
+                *request, answer.rejection_version > 0
+                              ? request_outcome::unknown
+                              : request_outcome::refused);
+            return;
+        }
+        request->replaces = answer.rejection_version;
+        this->try_submit(request);
+    }
+
     void submit_to_leader(submission_ptr const& request)
     {
         request->is_sent = true;
@@ -134,7 +187,9 @@
             this->host->voting.leader_address(),
             {.kind = peer_kind::submit,
              .name = request->id,
-             .value = request->value},
+             .value = request->value,
+             .replaces = request->replaces,
+             .knows_rejections = true},
             this->bound([this, request,
                          is_answered](std::optional<peer_reply> const& reply) {
                 if (!std::exchange(*is_answered, true)) {
@@ -165,9 +220,12 @@
     void on_leader_answer(
         submission_ptr const& request, std::optional<peer_reply> const& reply)
     {
-        if (reply && (reply->submission == store_status::done ||
-                      reply->submission == store_status::conflict)) {
-            this->on_submitted(request, *reply->submission);
+        if (reply && reply->submission && is_decided(*reply->submission)) {
+            this->on_submitted(
+                request, {.status = *reply->submission,
+                          .retry_after = reply->retry_after,
+                          .rejection_version = reply->rejection_version,
+                          .rejection_age = reply->rejection_age});
             return;
         }
         request->is_sent = false;
@@ -246,24 +304,62 @@
         row_change change;
         change.conditions = {
             {tables::jobs, submission_key(request->id), 0},
-            {tables::ended, request->id, 0}};
+            {tables::ended, request->id, request->replaces}};
         change.puts.push_back(
             {.table = tables::jobs,
              .key = submission_key(request->id),
              .value = request->value});
+        if (request->replaces > 0) {
+            change.removals.push_back(
+                {.table = tables::ended, .key = request->id});
+        }
         this->host->ports.change(
             std::move(change),
             this->bound([this, request, sent_at = this->host->ports.now()](
                             change_result const& result) {
                 this->host->note_store(result.status, sent_at);
-                bool const is_known =
-                    result.status == store_status::conflict &&
-                    !has_tombstone(result.current, request->id);
-                this->on_submitted(
-                    request, is_known ? store_status::done : result.status);
+                this->on_submitted(request, answer_of(*request, result));
             }));
     }
 
+    static submission_answer
+    answer_of(submission const& request, change_result const& result)
+    {
+        if (result.status != store_status::conflict) {
+            return {.status = result.status};
+        }
+        auto const exists = [&](char const* table, std::string const& key) {
+            return std::any_of(
+                result.current.begin(), result.current.end(),
+                [&](row const& each) {
+                    return each.table == table && each.key == key;
+                });
+        };
+        if (exists(tables::jobs, submission_key(request.id))) {
+            return {.status = store_status::done};
+        }
+        bool const is_gone =
+            request.replaces > 0 && !exists(tables::ended, request.id);
+        if (rejection_version(result.current, request.id) > 0 || is_gone) {
+            // This host cannot tell whether the request came after it.
+            return {.status = store_status::barred};
+        }
+        return {
+            .status = has_tombstone(result.current, request.id)
+                          ? store_status::conflict
+                          : store_status::done};
+    }
+
+    /// The leader's answer tells what to do; otherwise this host goes on by
+    /// itself.
+    static bool is_decided(store_status status)
+    {
+        return status == store_status::done ||
+               status == store_status::conflict ||
+               status == store_status::rejected ||
+               status == store_status::barred;
+    }
+
     void submit_again(submission_ptr const& request)
     {
         if (!request->callback) {
@@ -285,10 +381,13 @@
     }
 
     /// Does nothing if the caller has an answer.
-    void finish(submission& request, request_outcome outcome)
+    void finish(
+        submission& request,
+        request_outcome outcome,
+        base::duration retry_after = {})
     {
         if (auto const callback = std::exchange(request.callback, {})) {
-            callback(outcome);
+            callback({.outcome = outcome, .retry_after = retry_after});
         }
     }
 
--- a/libs/jobs/src/leader_record.cpp
+++ b/libs/jobs/src/leader_record.cpp
@@ -84,6 +84,10 @@
                 {.table = tables::jobs, .key = tombstone_key(each.job)});
         }
     }
+    for (auto const& each : record.expired) {
+        change.conditions.push_back({tables::ended, each.job, each.version});
+        change.removals.push_back({.table = tables::ended, .key = each.job});
+    }
     return change;
 }
 
--- a/libs/jobs/src/peer_message.cpp
+++ b/libs/jobs/src/peer_message.cpp
@@ -43,6 +43,8 @@
         return "unknown";
     case request_outcome::cancelled:
         return "cancelled";
+    case request_outcome::rejected:
+        return "rejected";
     }
     return "unknown";
 }
@@ -56,6 +58,8 @@
     add(object, "f", request.failure_domain);
     add(object, "r", request.relay_size);
     add(object, "t", request.clock_ms);
+    add(object, "x", request.replaces);
+    add(object, "j", request.knows_rejections);
     add_bytes(object, request.value);
     return pack(object);
 }
@@ -71,6 +75,8 @@
         request.failure_domain = object.value("f", std::string{});
         request.relay_size = object.value("r", std::int64_t{0});
         request.clock_ms = object.value("t", std::int64_t{0});
+        request.replaces = object.value("x", std::int64_t{0});
+        request.knows_rejections = object.value("j", false);
         request.value = bytes_of(object);
         return request;
     });
@@ -94,6 +100,9 @@
     if (reply.cancellation) {
         object["d"] = static_cast<int>(*reply.cancellation);
     }
+    add(object, "y", reply.retry_after.ms);
+    add(object, "x", reply.rejection_version);
+    add(object, "g", reply.rejection_age.ms);
     add(object, "t", reply.leader_token);
     add(object, "b", reply.leader_address);
     add_bytes(object, reply.value);
@@ -127,6 +136,9 @@
             reply.cancellation =
                 static_cast<request_outcome>(object.at("d").get<int>());
         }
+        reply.retry_after.ms = object.value("y", std::int64_t{0});
+        reply.rejection_version = object.value("x", std::int64_t{0});
+        reply.rejection_age.ms = object.value("g", std::int64_t{0});
         reply.leader_token = object.value("t", std::int64_t{0});
         reply.leader_address = object.value("b", std::string{});
         reply.value = bytes_of(object);
--- a/libs/jobs/src/rows.cpp
+++ b/libs/jobs/src/rows.cpp
@@ -31,6 +31,10 @@
         return "unknown";
     case store_status::history_lost:
         return "history_lost";
+    case store_status::rejected:
+        return "rejected";
+    case store_status::barred:
+        return "barred";
     }
     return "unknown";
 }
@@ -106,4 +110,14 @@
     });
 }
 
+std::int64_t rejection_version(std::span<row const> rows, std::string_view job)
+{
+    auto const found =
+        std::find_if(rows.begin(), rows.end(), [&](row const& each) {
+            return each.table == tables::ended && each.key == job &&
+                   each.value == rejection_value;
+        });
+    return found == rows.end() ? 0 : found->version;
+}
+
 } // namespace foxtaillift::jobs
--- a/libs/jobs/src/scheduler.cpp
+++ b/libs/jobs/src/scheduler.cpp
@@ -156,6 +156,12 @@
     this->impl->keep_ended(std::move(job), state);
 }
 
+admission_verdict
+scheduler::decide_admission(job_spec const& job, base::instant now)
+{
+    return this->impl->decide_admission(job, now);
+}
+
 void scheduler::cancel_job(std::string_view job, base::instant now)
 {
     this->impl->cancel_job(job, now);
@@ -370,6 +376,16 @@
     return result;
 }
 
+std::vector<admission_load> scheduler::admission(base::instant now) const
+{
+    return this->impl->admission(now);
+}
+
+std::map<std::string, std::size_t> const& scheduler::rejections() const
+{
+    return this->impl->rejections;
+}
+
 std::size_t scheduler::job_count() const
 {
     return this->impl->jobs.size();
--- a/libs/jobs/src/scheduler_core.hpp
+++ b/libs/jobs/src/scheduler_core.hpp
@@ -5,6 +5,7 @@
 #include "foxtaillift/jobs/interference.hpp"
 #include "foxtaillift/jobs/scheduler.hpp"
 
+#include "admission_control.hpp"
 #include "answer_time.hpp"
 #include "filling_mix.hpp"
 #include "job_table.hpp"
@@ -240,6 +241,15 @@
     /// Call whenever the failure domain of a worker may have changed.
     void update_evacuated(worker_entry& worker) const;
 
+    // Admission of new jobs (scheduler_admission.cpp)
+    admission_verdict decide_admission(job_spec const& spec, base::instant now);
+    [[nodiscard]] std::vector<admission_load>
+    admission(base::instant now) const;
+    /// Call when a task of the step is done.
+    void note_work_done(job_entry const& job, step const& done);
+    /// A job that was rejected before goes before new ones of its queue.
+    void prefer_returned(job_entry& job) const;
+
     // Closed workers (scheduler_closing.cpp)
     std::vector<closed_worker> close_workers(base::instant now);
     void on_closed_recorded(std::span<closed_worker const> record);
@@ -359,7 +369,19 @@
     /// The rows of all jobs that were stored before are known.
     base::instant jobs_read{-1'000'000};
 
+    /// By service; made when its first job is submitted.
+    std::map<std::string, admission_control, std::less<>> admissions{};
+    std::map<std::string, std::size_t> rejections{}; ///< by queue
+
 private:
+    // scheduler_admission.cpp
+    [[nodiscard]] std::vector<waiting_work>
+    waiting_work_of(std::string_view service, base::instant now) const;
+    [[nodiscard]] fleet_rate
+    capacity_of(std::string_view service, base::instant now) const;
+    /// Every listed worker of the service has reported to this leader.
+    [[nodiscard]] bool are_all_heard(std::string_view service) const;
+
     // scheduler_jobs.cpp
     /// Queues of unfinished jobs that the configuration does not name.
     void log_dropped_queues() const;
--- a/libs/jobs/src/scheduler_jobs.cpp
+++ b/libs/jobs/src/scheduler_jobs.cpp
@@ -168,6 +168,7 @@
         !this->is_recovered &&
         !(this->majority_at &&
           this->jobs_read > *this->majority_at + majority_window);
+    this->prefer_returned(*job);
     this->log(base::event_line{"job_added"}
                   .add("job", id)
                   .add("queue", job->spec.queue)
--- a/libs/jobs/src/scheduler_reports.cpp
+++ b/libs/jobs/src/scheduler_reports.cpp
@@ -386,6 +386,7 @@
         task.is_done = true;
         ++job.done;
         ++job.steps[slot].done;
+        this->note_work_done(job, step);
         for (auto const& copy : task.runs) {
             if (!step.is_gang) {
                 this->stop_run(copy.worker, {job.name_of(each), copy.attempt});
--- a/libs/jobs/src/submission_batch.cpp
+++ b/libs/jobs/src/submission_batch.cpp
@@ -13,9 +13,10 @@
     auto const join = [&](submission& first) {
         // The caller came again; both get the answer to the first.
         first.callback = [one = std::move(first.callback),
-                          other = std::move(wanted.callback)](auto status) {
-            one(status);
-            other(status);
+                          other =
+                              std::move(wanted.callback)](auto const& answer) {
+            one(answer);
+            other(answer);
         };
     };
     auto const sent =
@@ -27,7 +28,7 @@
     } else if (next != this->waiting.end()) {
         join(*next);
     } else if (this->waiting.size() >= waiting_limit) {
-        wanted.callback(store_status::not_done);
+        wanted.callback({.status = store_status::not_done});
     } else {
         this->waiting.push_back(std::move(wanted));
     }
@@ -40,15 +41,27 @@
         [&](submission const& each) { return each.job == job; });
 }
 
+bool submission_batch::is_held(std::string_view job) const
+{
+    return this->is_taken(job) ||
+           std::any_of(
+               this->waiting.begin(), this->waiting.end(),
+               [&](submission const& each) { return each.job == job; });
+}
+
 void submission_batch::take(std::size_t limit)
 {
     std::size_t bytes = 0;
+    std::size_t count = 0;
     for (auto const& each : this->taken) {
         bytes += each.value.size();
+        count += entries_of(each);
     }
-    while (!this->waiting.empty() && this->taken.size() < limit) {
+    while (!this->waiting.empty()) {
         bytes += this->waiting.front().value.size();
-        if (bytes > longest_values && !this->taken.empty()) {
+        count += entries_of(this->waiting.front());
+        if (count > limit * entries ||
+            (bytes > longest_values && !this->taken.empty())) {
             return; // but one submission is always written
         }
         this->taken.push_back(std::move(this->waiting.front()));
@@ -61,18 +74,60 @@
     for (auto const& each : this->taken) {
         auto const key = submission_key(each.job);
         change.conditions.push_back({tables::jobs, key, 0});
-        change.conditions.push_back({tables::ended, each.job, 0});
+        change.conditions.push_back({tables::ended, each.job, each.replaces});
+        if (each.is_rejection) {
+            change.puts.push_back(
+                {.table = tables::ended,
+                 .key = each.job,
+                 .value = rejection_value});
+            continue;
+        }
         change.puts.push_back(
             {.table = tables::jobs, .key = key, .value = each.value});
+        if (each.replaces > 0) {
+            change.removals.push_back(
+                {.table = tables::ended, .key = each.job});
+        }
     }
 }
 
+std::size_t submission_batch::entries_of(submission const& each)
+{
+    return !each.is_rejection && each.replaces > 0 ? entries + 1 : entries;
+}
+
+std::size_t submission_batch::taken_entries() const
+{
+    std::size_t count = 0;
+    for (auto const& each : this->taken) {
+        count += entries_of(each);
+    }
+    return count;
+}
+
+std::vector<std::string> submission_batch::rejections() const
+{
+    std::vector<std::string> jobs;
+    for (auto const& each : this->taken) {
+        if (each.is_rejection) {
+            jobs.push_back(each.job);
+        }
+    }
+    return jobs;
+}
+
 std::vector<std::pair<std::string, std::string>> submission_batch::on_done()
 {
     std::vector<std::pair<std::string, std::string>> accepted;
     for (auto& each : std::exchange(this->taken, {})) {
+        if (each.is_rejection) {
+            each.callback(
+                {.status = store_status::rejected,
+                 .retry_after = each.retry_after});
+            continue;
+        }
         accepted.emplace_back(std::move(each.job), std::move(each.value));
-        each.callback(store_status::done);
+        each.callback({.status = store_status::done});
     }
     return accepted;
 }
@@ -80,39 +135,62 @@
 void submission_batch::on_not_done()
 {
     for (auto const& each : std::exchange(this->taken, {})) {
-        each.callback(store_status::not_done);
+        each.callback({.status = store_status::not_done});
     }
 }
 
 void submission_batch::refuse_waiting()
 {
     for (auto const& each : std::exchange(this->waiting, {})) {
-        each.callback(store_status::not_done);
+        each.callback({.status = store_status::not_done});
     }
 }
 
-bool submission_batch::on_conflict(std::span<row const> current)
+std::optional<submission_answer>
+submission_batch::judge(submission const& each, std::span<row const> current)
 {
-    auto const exists = [&](submission const& each) {
+    auto const exists = [&](char const* table, std::string const& key) {
         return std::any_of(
             current.begin(), current.end(), [&](row const& found) {
-                return (found.table == tables::jobs &&
-                        found.key == submission_key(each.job)) ||
-                       (found.table == tables::ended && found.key == each.job);
+                return found.table == table && found.key == key;
             });
     };
-    auto const first = std::partition(
-        this->taken.begin(), this->taken.end(),
-        [&](submission const& each) { return !exists(each); });
-    std::vector<submission> known{
-        std::make_move_iterator(first),
-        std::make_move_iterator(this->taken.end())};
-    this->taken.erase(first, this->taken.end());
-    for (auto const& each : known) {
-        each.callback(
-            has_tombstone(current, each.job)
-                ? store_status::conflict
-                : store_status::done); // accepted before
+    if (exists(tables::jobs, submission_key(each.job))) {
+        return submission_answer{.status = store_status::done};
+    }
+    auto const rejection = rejection_version(current, each.job);
+    if (rejection > 0) {
+        if (each.is_rejection || rejection == each.replaces) {
+            return std::nullopt;
+        }
+        return submission_answer{
+            .status = store_status::barred, .rejection_version = rejection};
+    }
+    if (!exists(tables::ended, each.job)) {
+        return std::nullopt;
+    }
+    return submission_answer{
+        .status = has_tombstone(current, each.job)
+                      ? store_status::conflict
+                      : store_status::done}; // accepted before
+}
+
+bool submission_batch::on_conflict(std::span<row const> current)
+{
+    std::vector<std::pair<submission, submission_answer>> known;
+    std::vector<submission> kept;
+    for (auto& each : std::exchange(this->taken, {})) {
+        if (auto const answer = judge(each, current)) {
+            known.emplace_back(std::move(each), *answer);
+        } else {
+            // The row may have been removed, or replaced by a later rejection.
+            each.replaces = rejection_version(current, each.job);
+            kept.push_back(std::move(each));
+        }
+    }
+    this->taken = std::move(kept);
+    for (auto const& [each, answer] : known) {
+        each.callback(answer);
     }
     return !known.empty();
 }
@@ -120,7 +198,7 @@
 void submission_batch::end(store_status of_taken)
 {
     for (auto const& each : std::exchange(this->taken, {})) {
-        each.callback(of_taken);
+        each.callback({.status = of_taken});
     }
     this->refuse_waiting();
 }
--- a/libs/jobs/src/views.cpp
+++ b/libs/jobs/src/views.cpp
@@ -127,6 +127,24 @@
                                                                 : "usable";
 }
 
+json encode_admission(scheduler const& decisions, base::instant now)
+{
+    json view = {
+        {"rejected", decisions.rejections()}, {"services", json::array()}};
+    for (auto const& each : decisions.admission(now)) {
+        view["services"].push_back(
+            {{"service", each.service},
+             {"kind", each.kind},
+             {"overloaded", each.is_overloaded},
+             {"overloaded_ms", each.overloaded.ms},
+             {"waiting_work_ms", each.waiting_ms},
+             {"processors", each.processors},
+             {"rejected", each.rejected},
+             {"returned", each.returned}});
+    }
+    return view;
+}
+
 } // namespace
 
 std::string encode_status(
@@ -159,7 +177,8 @@
              {"running", running},
              {"queued", waiting},
              {"capacity", encode_resources(load.capacity)},
-             {"committed", encode_resources(load.used)}});
+             {"committed", encode_resources(load.used)},
+             {"admission", encode_admission(*decisions, now)}});
     }
     return status.dump();
 }
--- a/libs/jobs/tests/contact_test.cpp
+++ b/libs/jobs/tests/contact_test.cpp
@@ -59,6 +59,48 @@
     CHECK(reply.peers == std::vector<std::string>{"1.2.3.4:5", "6:7"});
 }
 
+// Guards against hosts that do not understand each other while they are
+// restarted one after another: a message of the previous version has none of
+// the members on rejections, and its host is told of none.
+TEST_CASE("messages on rejections survive the wire and may be missing")
+{
+    auto const request = decode_peer_request(encode(peer_request{
+        .kind = peer_kind::submit,
+        .name = "j",
+        .replaces = 7,
+        .knows_rejections = true}));
+    CHECK(request.replaces == 7);
+    CHECK(request.knows_rejections);
+    auto const reply = decode_peer_reply(encode(peer_reply{
+        .submission = store_status::rejected,
+        .retry_after = base::milliseconds(2500),
+        .rejection_version = 9,
+        .rejection_age = base::milliseconds(70)}));
+    CHECK(reply.submission == store_status::rejected);
+    CHECK(reply.retry_after == base::milliseconds(2500));
+    CHECK(reply.rejection_version == 9);
+    CHECK(reply.rejection_age == base::milliseconds(70));
+
+    std::string const earlier_request{"\x82\xa1k\x03\xa1n\xa1j"};
+    auto const decoded = decode_peer_request(earlier_request);
+    CHECK(decoded.kind == peer_kind::submit);
+    CHECK(decoded.name == "j");
+    CHECK(decoded.replaces == 0);
+    CHECK_FALSE(decoded.knows_rejections);
+    std::string const earlier_reply{
+        "\x83\xa1n\xa1x\xa1"
+        "c\x05\xa1w\x00",
+        11};
+    auto const answer = decode_peer_reply(earlier_reply);
+    CHECK(answer.version == 5);
+    CHECK(answer.submission == store_status::done);
+    CHECK(answer.retry_after == base::duration{});
+    // A message without rejections is the same as before.
+    CHECK(
+        encode(peer_request{.kind = peer_kind::submit, .name = "j"}) ==
+        earlier_request);
+}
+
 // Guards against a message of a few KB that ends the stack of the process.
 TEST_CASE("messages of peers that are odd are refused")
 {
--- a/libs/jobs/tests/simulated_world.cpp
+++ b/libs/jobs/tests/simulated_world.cpp
@@ -539,7 +539,20 @@
     this->hosts[host]->service->submit(
         job, base::seconds(3),
         [this, id = job.id,
-         asked_at = this->time.now](request_outcome outcome) {
+         asked_at = this->time.now](submission_outcome const& found) {
+            auto const outcome = found.outcome;
+            if (outcome == request_outcome::rejected) {
+                this->rejected[id] = found.retry_after;
+                auto const row = this->store.rows.find({tables::ended, id});
+                bool const is_durable =
+                    (row != this->store.rows.end() &&
+                     row->second.value == rejection_value) ||
+                    this->not_refused[id] > 1;
+                if (!is_durable) {
+                    this->violations.push_back(
+                        id + " is rejected without a row");
+                }
+            }
             if (outcome == request_outcome::accepted) {
                 this->accepted.insert(id);
             } else if (outcome != request_outcome::unknown) {
--- a/libs/jobs/tests/simulated_world.hpp
+++ b/libs/jobs/tests/simulated_world.hpp
@@ -295,7 +295,10 @@
     std::map<std::size_t, std::int64_t> sizes{}; ///< of hosts, if unusual
     std::vector<std::string> violations{};
     std::set<std::string> accepted{};
-    std::set<std::string> refused{};  ///< by each request that held the job
+    std::set<std::string> refused{}; ///< by each request that held the job
+    /// Jobs that were rejected for lack of capacity at least once, and after
+    /// which time their callers should come again.
+    std::map<std::string, base::duration> rejected{};
     std::size_t unknown_outcomes = 0; ///< of submissions
     std::map<std::string, base::instant> submitted_at{};
     std::map<std::string, base::instant> started_at{}; ///< the first task
--- a/libs/jobs/tests/submission_batch_test.cpp
+++ b/libs/jobs/tests/submission_batch_test.cpp
@@ -14,8 +14,10 @@
     void add(std::string const& job)
     {
         this->batch.add(
-            {.job = job, .value = "v", .callback = [this, job](auto status) {
-                 this->answers.emplace(job, status);
+            {.job = job,
+             .value = "v",
+             .callback = [this, job](auto const& answer) {
+                 this->answers.emplace(job, answer.status);
              }});
     }
 
@@ -150,3 +152,79 @@
     CHECK(test.answers.find("waiting")->second == store_status::not_done);
     CHECK_FALSE(test.answers.contains("sent")); // its write may be carried out
 }
+
+// Guards against an accepted job whose rejection row stays, and against a
+// rejection that is told before it is written.
+TEST_CASE("a rejection is a row, which a later submission replaces")
+{
+    fixture test;
+    test.batch.add(
+        {.job = "no",
+         .callback =
+             [&](auto const& answer) {
+                 test.answers.emplace("no", answer.status);
+                 CHECK(answer.retry_after.ms == 3000);
+             },
+         .is_rejection = true,
+         .retry_after = {3000}});
+    test.batch.add(
+        {.job = "again",
+         .value = "v",
+         .callback =
+             [&](auto const& answer) {
+                 test.answers.emplace("again", answer.status);
+             },
+         .replaces = 7});
+    test.batch.take(20);
+    CHECK(test.batch.taken_entries() == 2 * submission_batch::entries + 1);
+    auto const change = test.change();
+    REQUIRE(change.puts.size() == 2);
+    CHECK(change.puts[0].table == tables::ended);
+    CHECK(change.puts[0].value == rejection_value);
+    REQUIRE(change.removals.size() == 1);
+    CHECK(change.removals[0].key == "again");
+    CHECK(change.conditions[3].version == 7);
+    CHECK(test.answers.empty());
+    CHECK(test.batch.rejections() == std::vector<std::string>{"no"});
+    CHECK(test.batch.on_done().size() == 1);
+    CHECK(test.answers.find("no")->second == store_status::rejected);
+    CHECK(test.answers.find("again")->second == store_status::done);
+}
+
+// Guards against "rejected" for a job that was accepted before, against an
+// accepted job for a copy that did not know of the rejection, and against a
+// rejection that an older one keeps out.
+TEST_CASE("rows that a rejection finds decide what is told")
+{
+    fixture test;
+    for (std::string const job : {"accepted", "rejected"}) {
+        test.batch.add(
+            {.job = job,
+             .callback =
+                 [&test, job](auto const& answer) {
+                     test.answers.emplace(job, answer.status);
+                 },
+             .is_rejection = true});
+    }
+    test.add("copy");
+    test.batch.take(20);
+    std::vector<row> const current{
+        {.table = tables::jobs,
+         .key = submission_key("accepted"),
+         .version = 4},
+        {.table = tables::ended,
+         .key = "rejected",
+         .value = rejection_value,
+         .version = 5},
+        {.table = tables::ended,
+         .key = "copy",
+         .value = rejection_value,
+         .version = 6}};
+    CHECK(test.batch.on_conflict(current));
+    CHECK(test.answers.find("accepted")->second == store_status::done);
+    CHECK(test.answers.find("copy")->second == store_status::barred);
+    CHECK_FALSE(test.answers.contains("rejected"));
+    CHECK(test.change().conditions[1].version == 5);
+    test.batch.end(store_status::unknown);
+    CHECK(test.answers.find("rejected")->second == store_status::unknown);
+}
--- a/libs/jobs/tests/views_test.cpp
+++ b/libs/jobs/tests/views_test.cpp
@@ -6,6 +6,7 @@
 
 #include <nlohmann/json.hpp>
 
+namespace base = foxtaillift::base;
 using namespace foxtaillift::jobs;
 using foxtaillift::jobs::testing::scheduler_fixture;
 using nlohmann::json;
@@ -56,6 +57,17 @@
 
     auto const status = read(test, "/v1/status", 200);
     CHECK(status["owners"][0]["phase"] == "leading");
+    CHECK(status["owners"][0]["admission"]["services"].empty());
+    job_spec submitted{.id = "new", .queue = "q"};
+    submitted.steps = {{.count = 1, .estimate = base::milliseconds(5)}};
+    CHECK_FALSE(
+        test.decisions.decide_admission(submitted, test.now).is_rejected);
+    auto const admission =
+        read(test, "/v1/status", 200)["owners"][0]["admission"]["services"];
+    CHECK(admission[0]["service"] == "s");
+    CHECK(admission[0]["kind"] == "ordinary");
+    CHECK(admission[0]["overloaded"] == false);
+    CHECK(admission[0]["processors"] == 3.75); // 3, with the margin
     read(test, "/v1/jobs/unknown", 404);
     read(test, "/v1/else", 404);
 }
