--- a/libs/jobs/src/scheduler_search.cpp
+++ b/libs/jobs/src/scheduler_search.cpp
@@ -176,18 +176,21 @@
 {
     auto const& wanted = *search.wanted;
     ranked_workers ranked;
+    auto const count_unusable = [&](std::size_t usable) {
+        ranked.obstacles.add(
+            obstacle::unusable,
+            this->workers.size() - usable - this->evacuated_vacancies);
+        ranked.obstacles.add(obstacle::evacuated, this->evacuated_vacancies);
+    };
     auto const* const queue = this->queue_of(job);
     auto const list = queue == nullptr ? this->vacancies.end()
                                        : this->vacancies.find(queue->service);
     if (list == this->vacancies.end()) {
-        ranked.obstacles.add(obstacle::unusable, this->workers.size());
+        count_unusable(0);
         return ranked;
     }
     auto const& choices = list->second;
-    ranked.obstacles.add(
-        obstacle::unusable,
-        this->workers.size() - choices.size() - this->evacuated_vacancies);
-    ranked.obstacles.add(obstacle::evacuated, this->evacuated_vacancies);
+    count_unusable(choices.size());
     std::size_t compared = 0;
     auto const first = this->next_candidate;
     for (std::size_t i = 0; i < choices.size() && compared < count; ++i) {
--- a/libs/jobs/tests/evacuation_test.cpp
+++ b/libs/jobs/tests/evacuation_test.cpp
@@ -205,6 +205,9 @@
     CHECK(read("/v1/workers")["workers"][0]["state"] == "evacuated");
     CHECK(read("/v1/jobs/waits")["last_wait"]["evacuated"] == 1);
     CHECK(test.decisions.load(test.now).evacuated_workers == 1);
+    test.evacuate("zb");
+    test.place();
+    CHECK(read("/v1/jobs/waits")["last_wait"]["evacuated"] == 2);
 }
 
 // The pattern: the leader dies, loses the store or is cut off just after an
