--- a/cmake/foxtaillift.cmake
+++ b/cmake/foxtaillift.cmake
@@ -75,13 +75,14 @@
 add_custom_target(thread_tests)
 
 # foxtaillift_test(<name> SOURCES ... DEPENDS ... [LABELS ...] [TIMEOUT s]
-#                  [SHARDS n CASES_IN_SHARD k] [PROCESSORS n])
+#                  [SHARDS n CASES_IN_SHARD k] [PROCESSORS n] [ALONE])
 # One doctest program; LABELS "threads" selects it for ThreadSanitizer and
 # "processes" marks tests that start the programs. With SHARDS it is n tests
 # that can run side by side, of k cases each; the last one takes all that are
 # left. PROCESSORS: how many it counts for among the tests that run at once.
+# ALONE: no other test runs beside it.
 function(foxtaillift_test name)
-  cmake_parse_arguments(ARG "" "TIMEOUT;SHARDS;CASES_IN_SHARD;PROCESSORS"
+  cmake_parse_arguments(ARG "ALONE" "TIMEOUT;SHARDS;CASES_IN_SHARD;PROCESSORS"
     "SOURCES;DEPENDS;LABELS" ${ARGN})
   add_executable(${name} ${ARG_SOURCES})
   target_link_libraries(${name} PRIVATE ${ARG_DEPENDS})
@@ -119,6 +120,9 @@
     TIMEOUT ${ARG_TIMEOUT} LABELS "${ARG_LABELS}" PROCESSORS ${ARG_PROCESSORS}
     # Those that wait for others to end start first.
     COST ${ARG_PROCESSORS})
+  if(ARG_ALONE)
+    set_tests_properties(${tests} PROPERTIES RUN_SERIAL TRUE)
+  endif()
 endfunction()
 
 # foxtaillift_benchmark(<name> SOURCES ... DEPENDS ...)
--- a/libs/daemon/src/entry_host.cpp
+++ b/libs/daemon/src/entry_host.cpp
@@ -74,9 +74,11 @@
                 .tls_key = {},
                 .header_limit = static_cast<std::size_t>(limits.header_limit),
                 .body_limit = static_cast<std::size_t>(limits.body_limit),
+                .buffer_limit = static_cast<std::size_t>(limits.buffer_limit),
                 .header_timeout = limits.header_timeout,
                 .connections_per_address =
-                    static_cast<std::size_t>(limits.connections_per_address)},
+                    static_cast<std::size_t>(limits.connections_per_address),
+                .connections = static_cast<std::size_t>(limits.connections)},
             [this](auto request, auto reply) {
                 this->plane->handle_caller(
                     std::move(request), std::move(reply));
--- a/libs/settings/include/foxtaillift/settings/daemon_settings.hpp
+++ b/libs/settings/include/foxtaillift/settings/daemon_settings.hpp
@@ -70,6 +70,8 @@
     std::int64_t body_limit = 8 * 1024 * 1024;
     base::duration header_timeout = base::milliseconds(10000);
     std::int64_t connections_per_address = 256;
+    std::int64_t connections = 10'000;
+    std::int64_t buffer_limit = 256 * 1024 * 1024;
 };
 
 struct batch_settings
--- a/libs/settings/src/describe.cpp
+++ b/libs/settings/src/describe.cpp
@@ -198,6 +198,15 @@
         {"calls.connections_per_address", &c.connections_per_address,
          integer_rule{1, 65535}, false,
          "Connections from one caller address."});
+    constexpr std::int64_t least_buffer = 1 << 20;
+    constexpr std::int64_t most_buffer = std::int64_t{1} << 40;
+    out.push_back(
+        {"calls.connections", &c.connections, integer_rule{1, 1000000}, false,
+         "Connections from all callers."});
+    out.push_back(
+        {"calls.buffer_limit", &c.buffer_limit,
+         integer_rule{least_buffer, most_buffer}, false,
+         "Bytes that the requests of all callers hold."});
 }
 
 void describe_batch(daemon_settings& s, keys& out)
--- a/libs/settings/src/parse.cpp
+++ b/libs/settings/src/parse.cpp
@@ -198,6 +198,10 @@
         out.emplace_back(
             "peer.ping_interval_ms: must be less than peer.ping_timeout_ms");
     }
+    if (s.calls.buffer_limit <= s.calls.body_limit) {
+        out.emplace_back(
+            "calls.buffer_limit: must be larger than calls.body_limit");
+    }
 }
 
 json parse_text(std::string_view text, std::string_view file)
