Bound what callers hold, and drop requests that stand still

Cause: the budget of the HTTP server counted bodies by their length only, up to 256 MB on every host. Read buffers of 64 KB, unparsed input, the capacity of bodies, header fields and requests in handling did not count, and at a limit the newest request was refused while those that never end stayed.

Change: all of these count against one budget. Read buffers are 4 KB, and 16 KB within a body; the read path has the same calls as before. At the limit of the budget or of connections, sessions without a whole request give way, those without progress for longest first; progress is bounded by an average of 16 KB/s since the request began.

--- a/libs/daemon/src/entry_host.cpp
+++ b/libs/daemon/src/entry_host.cpp
@@ -101,9 +101,45 @@
             });
     }
 
-    [[nodiscard]] transport::response monitor(std::string const& target) const
+    void set_gauge(char const* name, char const* help, std::uint64_t value)
+    {
+        this->metrics.gauge_of(name, help)
+            .set(static_cast<std::int64_t>(value));
+    }
+
+    void update_caller_metrics()
+    {
+        auto const now = this->caller_server->statistics();
+        this->set_gauge(
+            "foxtail_caller_connections", "Open connections of callers.",
+            now.connections_open);
+        this->set_gauge(
+            "foxtail_caller_buffer_bytes",
+            "Bytes that connections and requests of callers hold.",
+            now.buffered_bytes);
+        this->set_gauge(
+            "foxtail_callers_dropped_for_memory",
+            "Connections without a whole request that gave way at "
+            "calls.buffer_limit.",
+            now.dropped_for_memory);
+        this->set_gauge(
+            "foxtail_callers_dropped_for_connections",
+            "Connections without a whole request that gave way at a limit of "
+            "connections.",
+            now.dropped_for_connections);
+        this->set_gauge(
+            "foxtail_callers_refused_for_memory",
+            "Requests refused at calls.buffer_limit.", now.refused_for_memory);
+        this->set_gauge(
+            "foxtail_caller_connections_refused",
+            "Connections refused at a limit of connections.",
+            now.connections_refused);
+    }
+
+    [[nodiscard]] transport::response monitor(std::string const& target)
     {
         if (target == "/metrics") {
+            this->update_caller_metrics();
             return {
                 .status = 200,
                 .headers = {{"Content-Type", "text/plain; version=0.0.4"}},
--- a/libs/settings/src/describe.cpp
+++ b/libs/settings/src/describe.cpp
@@ -202,11 +202,13 @@
     constexpr std::int64_t most_buffer = std::int64_t{1} << 40;
     out.push_back(
         {"calls.connections", &c.connections, integer_rule{1, 1000000}, false,
-         "Connections from all callers."});
+         "Connections from all callers. At the limit one without a whole "
+         "request is closed for a new one."});
     out.push_back(
         {"calls.buffer_limit", &c.buffer_limit,
          integer_rule{least_buffer, most_buffer}, false,
-         "Bytes that the requests of all callers hold."});
+         "Bytes that connections and requests of all callers hold. At the "
+         "limit requests that have not arrived whole are dropped."});
 }
 
 void describe_batch(daemon_settings& s, keys& out)
--- a/libs/transport/src/buffer_budget.hpp
+++ b/libs/transport/src/buffer_budget.hpp
@@ -1,4 +1,4 @@
-/// Bounds the memory of all bodies that one server or client holds.
+/// Bounds the memory of all messages that one server or client holds.
 #pragma once
 
 #include <atomic>
@@ -24,8 +24,11 @@
         this->taken -= bytes;
         return false;
     }
+    /// Takes also beyond the limit.
+    void take_always(std::size_t bytes) { this->taken += bytes; }
     void give_back(std::size_t bytes) { this->taken -= bytes; }
     [[nodiscard]] std::size_t used() const { return this->taken; }
+    [[nodiscard]] std::size_t most() const { return this->limit; }
 
 private:
     std::size_t limit;
--- a/libs/transport/src/http_server.cpp
+++ b/libs/transport/src/http_server.cpp
@@ -13,12 +13,12 @@
 public:
     implementation(
         net::io_context& io,
-        http_server_options options,
+        http_server_options const& options,
         request_handler handler)
         : server_frame(
               io,
-              std::make_shared<http_server_core>(
-                  std::move(options), std::move(handler)))
+              std::make_shared<http_server_core>(options, std::move(handler)),
+              options.receive_buffer)
     {
         if (!this->core->options.tls_key.empty()) {
             this->tls = make_tls_context(
@@ -58,8 +58,7 @@
 
 http_server::http_server(
     net::io_context& io, http_server_options options, request_handler handler)
-    : impl(std::make_shared<implementation>(
-          io, std::move(options), std::move(handler)))
+    : impl(std::make_shared<implementation>(io, options, std::move(handler)))
 {
     this->impl->start();
 }
@@ -90,7 +89,15 @@
         .disconnects = core.counters.disconnects,
         .handshakes_failed = core.counters.handshakes_failed,
         .connections_open = core.connections(),
-        .buffered_bytes = core.budget.used()};
+        .buffered_bytes = core.budget.used(),
+        .dropped_for_memory = core.counters.dropped_for_memory,
+        .dropped_for_connections = core.counters.dropped_for_connections,
+        .refused_for_memory = core.counters.refused_for_memory};
+}
+
+void http_server::limit_connections(std::size_t most)
+{
+    this->impl->core->limit_connections(most);
 }
 
 void http_server::stop(std::function<void()> on_stopped)
--- a/libs/transport/src/http_session.cpp
+++ b/libs/transport/src/http_session.cpp
@@ -10,8 +10,10 @@
 namespace
 {
 
+/// An ordinary request arrives with one read.
 constexpr std::size_t header_read_size = 4UL * 1024;
-constexpr std::size_t body_read_size = 64UL * 1024;
+/// The buffer exists as long as the caller sends nothing, for each connection.
+constexpr std::size_t body_read_size = 16UL * 1024;
 /// After the last answer input is discarded for this long. Closing with unread
 /// input would reset the connection, and the answer could be lost with it.
 constexpr base::duration linger_time = base::seconds(2);
@@ -29,12 +31,12 @@
     , stream(std::forward<Arguments>(arguments)...)
     , timer(this->stream.get_executor())
     , reader({this->core->options.header_limit, this->core->options.body_limit})
-    , body_share(this->core->budget)
 {}
 
 template <class Stream>
 http_session<Stream>::~http_session()
 {
+    this->core->hold(*this, 0);
     this->core->remove(this);
 }
 
@@ -42,6 +44,8 @@
 void http_session<Stream>::start()
 {
     this->post([](http_session& self) {
+        self.progress.begin(self.core->clock.now());
+        self.note_standing();
         tune(self.socket(), tcp::no_delay(true));
         if constexpr (std::is_same_v<Stream, tls_stream>) {
             self.handshake();
@@ -92,40 +96,74 @@
 template <class Stream>
 void http_session<Stream>::read()
 {
-    if (this->is_reading || this->is_input_ended ||
-        this->state == phase::closed) {
+    if (this->is_input_ended || this->state == phase::closed) {
+        return;
+    }
+    if (!this->is_reading) {
+        this->prepare_scratch();
+    }
+    if (this->state != phase::reading) {
+        this->count();
+    } else if (!this->try_count()) {
+        this->refuse_for_memory();
+        return;
+    }
+    if (this->is_reading) {
         return;
     }
     this->is_reading = true;
-    this->scratch.resize(
-        this->reader.is_in_body() ? body_read_size : header_read_size);
     this->stream.async_read_some(
-        net::buffer(this->scratch), [self = this->shared_from_this()](
-                                        error_code failure, std::size_t bytes) {
+        net::buffer(this->scratch.get(), this->scratch_size),
+        [self =
+             this->shared_from_this()](error_code failure, std::size_t bytes) {
             self->is_reading = false;
             self->on_read(failure, bytes);
         });
 }
 
+template <class Stream>
+void http_session<Stream>::prepare_scratch()
+{
+    bool const is_in_body =
+        this->state == phase::reading && this->reader.is_in_body();
+    auto const size = is_in_body ? body_read_size : header_read_size;
+    if (size != this->scratch_size) {
+        this->scratch.reset();
+        this->scratch = std::make_unique_for_overwrite<char[]>(size);
+        this->scratch_size = size;
+    }
+}
+
+template <class Stream>
+void http_session<Stream>::read_ahead()
+{
+    if (this->input.size() < this->core->options.header_limit &&
+        this->try_count()) {
+        this->read();
+    }
+}
+
 template <class Stream>
 void http_session<Stream>::on_read(error_code failure, std::size_t bytes)
 {
     if (this->state == phase::closed) {
         return;
     }
-    if (failure) {
+    bool const is_dropped = failure == net::error::operation_aborted;
+    if (failure && !is_dropped) {
         this->on_end_of_input(failure);
         return;
     }
-    if (this->state == phase::lingering) {
+    if (is_dropped || this->state == phase::lingering) {
         this->read();
         return;
     }
-    this->input.append(this->scratch, 0, bytes);
+    this->input.append(this->scratch.get(), bytes);
     if (this->state == phase::reading) {
+        this->note_received(bytes);
         this->advance();
-    } else if (this->input.size() < this->core->options.header_limit) {
-        this->read();
+    } else {
+        this->read_ahead();
     }
 }
 
@@ -152,11 +190,8 @@
         switch (this->reader.consume(this->input)) {
         case read_progress::need_more:
             this->arm_for_reading();
-            if (this->reader.body_size() > 0 &&
-                !this->body_share.grow_to(this->reader.body_size())) {
-                this->fail(make_refusal(503, "no memory is free for the body"));
-                return;
-            }
+            this->trim_input();
+            this->note_standing();
             this->read();
             return;
         case read_progress::header_done:
@@ -204,9 +239,16 @@
     this->timer.cancel();
     ++this->timer_number;
     this->state = phase::handling;
-    ++this->core->counters.requests;
+    this->note_standing();
     this->keeps_alive = this->reader.keeps_alive();
+    this->handled = this->reader.held();
     auto message = this->reader.take();
+    this->trim_input();
+    if (!this->try_count()) {
+        this->refuse_for_memory();
+        return;
+    }
+    ++this->core->counters.requests;
     message.remote_address = this->remote;
     this->is_head = message.method == "HEAD";
     ++this->request_number;
@@ -214,9 +256,7 @@
         this->shared_from_this(), this->request_number,
         this->core->in_progress);
     this->core->handler(std::move(message), responder{std::move(channel)});
-    if (this->input.size() < this->core->options.header_limit) {
-        this->read();
-    }
+    this->read_ahead();
 }
 
 template <class Stream>
@@ -263,6 +303,7 @@
 {
     ++this->core->counters.bad_requests;
     this->is_head = false;
+    this->drop_request();
     this->write(std::move(message), true);
 }
 
@@ -279,6 +320,8 @@
     if (!this->is_head && may_have_body(message.status)) {
         this->body_out = std::move(message.body);
     }
+    this->count();
+    this->note_standing();
     std::array<net::const_buffer, 2> const buffers{
         net::buffer(this->head_out), net::buffer(this->body_out)};
     net::async_write(
@@ -293,11 +336,13 @@
 void http_session<Stream>::on_written(error_code failure, bool is_last)
 {
     this->token.reset();
-    this->body_out = {};
-    this->body_share.clear();
+    release(this->head_out);
+    release(this->body_out);
+    this->handled = 0;
     if (this->state == phase::closed) {
         return;
     }
+    this->count();
     if (failure) {
         ++this->core->counters.disconnects;
         this->close();
@@ -306,6 +351,11 @@
     } else {
         this->state = phase::reading;
         this->is_header_timed = false;
+        this->is_request_begun = false;
+        this->progress.begin(this->core->clock.now());
+        if (!this->input.empty()) {
+            this->note_received(this->input.size());
+        }
         this->advance();
     }
 }
@@ -358,6 +408,8 @@
 void http_session<Stream>::linger()
 {
     this->state = phase::lingering;
+    this->progress.begin(this->core->clock.now());
+    this->note_standing();
     error_code failure;
     this->socket().shutdown(tcp::socket::shutdown_send, failure);
     if (failure || this->is_input_ended) {
@@ -381,7 +433,13 @@
     ++this->timer_number;
     this->timer.cancel();
     close_socket(this->socket());
-    this->body_share.clear();
+    this->note_standing();
+    release(this->input);
+    if (this->reader.is_in_body()) {
+        this->reader.reset();
+    }
+    // A request that the handler has counts until it has answered.
+    this->count();
     this->core->remove(this);
 }
 
--- a/libs/transport/src/listener.cpp
+++ b/libs/transport/src/listener.cpp
@@ -7,7 +7,10 @@
 namespace foxtaillift::transport
 {
 
-listener::listener(net::io_context& context, std::string_view address)
+listener::listener(
+    net::io_context& context,
+    std::string_view address,
+    std::size_t receive_buffer)
     : io(context)
     , strand(net::make_strand(context))
     , acceptor(this->strand)
@@ -17,6 +20,12 @@
     try {
         this->acceptor.open(endpoint.protocol());
         this->acceptor.set_option(net::socket_base::reuse_address(true));
+        if (receive_buffer > 0) {
+            // Accepted sockets inherit it. It must be set before listen(),
+            // since the window is agreed when a connection is established.
+            this->acceptor.set_option(net::socket_base::receive_buffer_size(
+                static_cast<int>(receive_buffer)));
+        }
         this->acceptor.bind(endpoint);
         this->acceptor.listen();
         this->local = this->acceptor.local_endpoint();
--- a/libs/transport/src/listener.hpp
+++ b/libs/transport/src/listener.hpp
@@ -16,8 +16,12 @@
 public:
     using accept_handler = std::function<void(tcp::socket)>;
 
-    /// Binds at once. Throws base::error if that fails.
-    listener(net::io_context& context, std::string_view address);
+    /// Binds at once. Throws base::error if that fails. `receive_buffer` is
+    /// that of accepted sockets in bytes; 0: the system chooses.
+    listener(
+        net::io_context& context,
+        std::string_view address,
+        std::size_t receive_buffer = 0);
 
     [[nodiscard]] std::uint16_t port() const { return this->local.port(); }
 
--- a/libs/transport/src/request_reader.cpp
+++ b/libs/transport/src/request_reader.cpp
@@ -1,11 +1,11 @@
 #include "request_reader.hpp"
 
 #include "asio.hpp"
+#include "growing_body.hpp"
 #include "http_text.hpp"
 
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 namespace foxtaillift::transport
 {
@@ -14,7 +14,7 @@
 
 struct request_reader::parser
 {
-    http::request_parser<http::string_body> http;
+    http::request_parser<growing_body> http;
 };
 
 namespace
@@ -28,6 +28,9 @@
            head.find("\r\n\t") != std::string_view::npos;
 }
 
+/// Memory of a field beside its text, in the parser or in a header_list.
+constexpr std::size_t field_size = 128;
+
 template <class Message>
 std::size_t count_fields(Message const& message, http::field name)
 {
@@ -44,7 +47,7 @@
 request_reader::request_reader(request_limits message_limits)
     : limits(message_limits)
 {
-    this->take();
+    this->reset();
 }
 
 request_reader::~request_reader() = default;
@@ -92,6 +95,9 @@
     if (message_parser.content_length().value_or(0) > this->limits.body) {
         return this->fail(413, "the body is too large");
     }
+    this->header_size =
+        end + field_size * static_cast<std::size_t>(
+                               std::distance(message.begin(), message.end()));
     this->has_header = true;
     message_parser.eager(true);
     return read_progress::header_done;
@@ -151,34 +157,36 @@
     return this->current->http.get().keep_alive();
 }
 
-std::size_t request_reader::body_size() const
+std::size_t request_reader::held() const
 {
-    auto const& message_parser = this->current->http;
-    return std::max<std::size_t>(
-        message_parser.content_length().value_or(0),
-        message_parser.get().body().size());
+    return this->header_size + this->current->http.get().body().text.capacity();
 }
 
 received_request request_reader::take()
 {
+    auto message = this->current->http.release();
     received_request result;
-    if (this->current) {
-        auto message = this->current->http.release();
-        result.method = to_string(message.method_string());
-        result.target = to_string(message.target());
-        for (auto const& field : message) {
-            result.headers.push_back(
-                {to_string(field.name_string()), to_string(field.value())});
-        }
-        result.body = std::move(message.body());
+    result.method = to_string(message.method_string());
+    result.target = to_string(message.target());
+    for (auto const& field : message) {
+        result.headers.push_back(
+            {to_string(field.name_string()), to_string(field.value())});
     }
+    result.body = std::move(message.body().text);
+    this->reset();
+    return result;
+}
+
+void request_reader::reset()
+{
     this->current = std::make_unique<parser>();
     this->current->http.header_limit(
         static_cast<std::uint32_t>(this->limits.header));
     this->current->http.body_limit(this->limits.body);
+    this->current->http.get().body().limit = this->limits.body;
     this->has_header = false;
+    this->header_size = 0;
     this->searched = 0;
-    return result;
 }
 
 } // namespace foxtaillift::transport
--- a/libs/transport/src/request_reader.hpp
+++ b/libs/transport/src/request_reader.hpp
@@ -42,12 +42,15 @@
     [[nodiscard]] bool is_in_body() const;
     [[nodiscard]] bool expects_continue() const;
     [[nodiscard]] bool keeps_alive() const;
-    /// Bytes that the body has or, if its length is stated, will have.
-    [[nodiscard]] std::size_t body_size() const;
+    /// Memory of the header fields and of the body, in bytes.
+    [[nodiscard]] std::size_t held() const;
 
     /// Returns the complete request and prepares for the next one.
     received_request take();
 
+    /// Drops what has been read of a request.
+    void reset();
+
 private:
     struct parser;
 
@@ -58,7 +61,8 @@
     request_limits limits;
     std::unique_ptr<parser> current;
     bool has_header = false;
-    std::size_t searched = 0; ///< bytes without the end of the header block
+    std::size_t header_size = 0; ///< memory of the fields
+    std::size_t searched = 0;    ///< bytes without the end of the header block
     response refusal;
 };
 
--- a/libs/transport/src/server_frame.hpp
+++ b/libs/transport/src/server_frame.hpp
@@ -35,10 +35,13 @@
 {
 public:
     /// Binds the port. Throws base::error if that fails.
-    server_frame(net::io_context& io, std::shared_ptr<Core> used)
+    server_frame(
+        net::io_context& io,
+        std::shared_ptr<Core> used,
+        std::size_t receive_buffer = 0)
         : core(std::move(used))
-        , port_listener(
-              std::make_shared<listener>(io, this->core->options.address))
+        , port_listener(std::make_shared<listener>(
+              io, this->core->options.address, receive_buffer))
     {}
     virtual ~server_frame() = default;
     server_frame(server_frame const&) = delete;
