Mend what the linter finds in the merged parts

Parameters that are copied for nothing, a template parameter in lower case, and an option of the process tests that nothing used and that kept their options from being constant.

--- a/libs/jobs/include/foxtaillift/jobs/row_follower.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/row_follower.hpp
@@ -211,7 +211,7 @@
     }
 
     template <class Function>
-    void again(Function next)
+    void again(Function const& next)
     {
         ++this->failures;
         auto const gap = std::min(
--- a/libs/transport/include/foxtaillift/transport/http_server.hpp
+++ b/libs/transport/include/foxtaillift/transport/http_server.hpp
@@ -79,7 +79,7 @@
     /// the port is in use.
     http_server(
         boost::asio::io_context& io,
-        http_server_options options,
+        http_server_options const& options,
         request_handler handler);
     http_server(http_server const&) = delete;
     http_server& operator=(http_server const&) = delete;
--- a/libs/transport/src/growing_body.hpp
+++ b/libs/transport/src/growing_body.hpp
@@ -33,9 +33,9 @@
     class reader
     {
     public:
-        template <bool is_request, class Fields>
+        template <bool IsRequest, class Fields>
         reader(
-            boost::beast::http::header<is_request, Fields>&, value_type& target)
+            boost::beast::http::header<IsRequest, Fields>&, value_type& target)
             : body(target)
         {}
 
--- a/libs/transport/src/http_server.cpp
+++ b/libs/transport/src/http_server.cpp
@@ -57,7 +57,9 @@
 };
 
 http_server::http_server(
-    net::io_context& io, http_server_options options, request_handler handler)
+    net::io_context& io,
+    http_server_options const& options,
+    request_handler handler)
     : impl(std::make_shared<implementation>(io, options, std::move(handler)))
 {
     this->impl->start();
--- a/tests/processes/entry_hosts/test_cluster.cpp
+++ b/tests/processes/entry_hosts/test_cluster.cpp
@@ -4,7 +4,6 @@
 #include <cstdlib>
 #include <fstream>
 #include <numeric>
-#include <utility>
 
 namespace foxtaillift::test
 {
@@ -68,7 +67,7 @@
 }
 
 test_cluster::test_cluster(test_cluster_options wanted)
-    : options(std::move(wanted))
+    : options(wanted)
 {
     auto name = (std::filesystem::temp_directory_path() / "entry_hosts_XXXXXX")
                     .string();
@@ -271,7 +270,6 @@
     if (this->options.can_cut_host_0) {
         settings["peer"]["routes"] = this->routes_of(index);
     }
-    settings.merge_patch(this->options.settings);
     std::ofstream{path} << settings.dump();
     this->hosts[index] = std::make_unique<program>(
         "foxtaild", std::vector<std::string>{"--config", path.string()});
--- a/tests/processes/entry_hosts/test_cluster.hpp
+++ b/tests/processes/entry_hosts/test_cluster.hpp
@@ -27,8 +27,6 @@
     /// reaches the workers directly, also with `has_worker_proxies`, so that
     /// a worker can be cut from the others alone. Needs has_table_proxy.
     bool can_cut_host_0 = false;
-    /// Merged into the settings of each entry host.
-    nlohmann::json settings = nlohmann::json::object();
 };
 
 struct load_result
