Wait for all ends of a worker that lists them in parts

A worker lists 500 ends in a report. A new leader counted it as accounted for with its first report, full or not, so that tasks whose ends were still to be listed started again.

A worker whose first report was full now counts with the first one that is not; until then inherited tasks wait, even once earlier leases are over, as the worker holds a lease of the new leader. Nothing starts on it meanwhile, so that the list becomes shorter, and the wait ends with its lease if it falls silent. No store call and no look is added.

--- a/libs/jobs/src/scheduler_jobs.cpp
+++ b/libs/jobs/src/scheduler_jobs.cpp
@@ -361,6 +361,7 @@
     auto& lost = this->workers[worker];
     // Ends that were listed before the lease ran out bind nobody.
     lost.blocked.clear();
+    lost.has_unlisted_ends = false;
     auto const runs = lost.runs;
     if (runs.empty()) {
         return;
--- a/libs/jobs/src/scheduler_orders.cpp
+++ b/libs/jobs/src/scheduler_orders.cpp
@@ -173,11 +173,15 @@
     }
     bool const is_lapsed = this->are_earlier_leases_over(now);
     std::size_t missing = 0;
+    bool is_listing = false;
     for (std::size_t i = 0; i < this->workers.size(); ++i) {
         auto const& worker = this->workers[i];
         missing += worker.is_accounted() || worker.is_gone ? 0 : 1;
+        // It has a lease of this leader, so that its ends bind however old the
+        // leases of earlier ones are; see expire_leases().
+        is_listing |= worker.has_unlisted_ends;
     }
-    if (missing > 0 && !is_lapsed) {
+    if (is_listing || (missing > 0 && !is_lapsed)) {
         return false;
     }
     this->is_recovered = true;
@@ -220,7 +224,8 @@
             this->lose_runs(i, run_release::lease_over, now);
             continue;
         }
-        if (worker.silent_looks == 0 || worker.runs.empty() ||
+        bool const may_lapse = !worker.runs.empty() || worker.has_unlisted_ends;
+        if (worker.silent_looks == 0 || !may_lapse ||
             !worker.clock.is_known()) {
             continue;
         }
--- a/libs/jobs/src/scheduler_reports.cpp
+++ b/libs/jobs/src/scheduler_reports.cpp
@@ -168,7 +168,8 @@
         worker.unacknowledged.clear();
         worker.blocked.clear();
     }
-    if (is_born_again || !worker.is_heard) {
+    bool const is_first = is_born_again || !worker.is_heard;
+    if (is_first) {
         // What runs there may have the longest lease of an earlier leader. An
         // order for the life before may give the next one the platform's.
         auto const longest =
@@ -200,6 +201,14 @@
             this->on_end(index, end, now);
         }
     }
+    bool const is_full = report.ended.size() >= ends_in_report;
+    if (is_full && is_first) {
+        this->log(base::event_line{"ends_unlisted"}
+                      .add("worker", worker.info.id)
+                      .add("listed_to", report.ended.back().number));
+    }
+    worker.has_unlisted_ends =
+        is_full && (is_first || worker.has_unlisted_ends);
     bool const is_all_read =
         report.ended.empty() || report.ended.back().number <= worker.processed;
     if (is_all_read) {
@@ -221,7 +230,7 @@
         taken.push_back(this->on_running(index, reported, now));
         taken.back()->report = number;
     }
-    if (report.ended.size() < ends_in_report) {
+    if (!is_full) {
         std::vector<run_name> absent;
         for (auto const& [run, present] : worker.runs) {
             if (present.report != number) {
--- a/libs/jobs/src/scheduler_search.cpp
+++ b/libs/jobs/src/scheduler_search.cpp
@@ -78,8 +78,9 @@
            !worker.info.is_draining &&
            (worker.is_listed || may_start_unlisted(worker, now)) &&
            worker.silent_looks == 0 && worker.unsized_runs == 0 &&
-           !worker.trust.is_barred(now) && !worker.trust.is_trial_out() &&
-           now - worker.heard_at < fresh_report;
+           // Its list must become no longer while the recovery waits for it.
+           !worker.has_unlisted_ends && !worker.trust.is_barred(now) &&
+           !worker.trust.is_trial_out() && now - worker.heard_at < fresh_report;
 }
 
 bool scheduler::implementation::is_usable(
--- a/libs/jobs/src/worker_table.hpp
+++ b/libs/jobs/src/worker_table.hpp
@@ -122,6 +122,10 @@
     /// Ends that cannot be taken over, as the job of the first is unknown: when
     /// each was listed first, by number.
     std::map<std::int64_t, base::instant> blocked{};
+    /// The first report of this life was full, and so has been each one since:
+    /// runs of an earlier leader may have ended without having been listed to
+    /// this one.
+    bool has_unlisted_ends = false;
 
     worker_trust trust{};
     std::map<run_name, serving_history> histories{}; ///< of serving runs
@@ -161,15 +165,16 @@
     /// All that an earlier leader may have left there is known.
     [[nodiscard]] bool is_accounted() const
     {
-        return this->is_heard ? this->blocked.empty()
-                              : this->inherited_until || this->is_lease_unknown;
+        return this->is_heard
+                   ? this->blocked.empty() && !this->has_unlisted_ends
+                   : this->inherited_until || this->is_lease_unknown;
     }
 
     /// Something runs there, or an end of it is not taken over or not durable.
     [[nodiscard]] bool has_work() const
     {
         return !this->runs.empty() || !this->unacknowledged.empty() ||
-               !this->blocked.empty();
+               !this->blocked.empty() || this->has_unlisted_ends;
     }
 
     void occupy(run_name const& run, occupancy const& taken);
--- a/libs/jobs/tests/takeover_test.cpp
+++ b/libs/jobs/tests/takeover_test.cpp
@@ -6,7 +6,9 @@
 #include "foxtaillift/base/error.hpp"
 #include "foxtaillift/jobs/worker_record.hpp"
 
+#include <algorithm>
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
@@ -94,6 +96,123 @@
     CHECK(test.decisions.state_of("k") == job_state::completed);
 }
 
+namespace
+{
+
+/// A worker that has carried out all tasks of a job and lists as many of their
+/// ends as one report holds; another one is idle.
+struct many_ends
+{
+    explicit many_ends(std::uint32_t tasks)
+        : count(tasks)
+    {
+        this->test.add("j", {.count = tasks, .need = {.processors = 1}});
+        this->test.decisions.begin_recovery(this->test.now); // inherited
+        this->test.list("a");
+        this->test.list("b");
+        this->test.take<look_order>();
+    }
+
+    /// `later` is the outcome of the runs that the first part does not list.
+    void report(run_outcome later = run_outcome::done)
+    {
+        constexpr std::uint32_t listed_at_once = 500;
+        auto report = this->test.report();
+        auto const first =
+            static_cast<std::uint32_t>(this->test.last_look["a"].acknowledged);
+        auto const last = std::min(this->count, first + listed_at_once);
+        for (auto i = first; i < last; ++i) {
+            report.ended.push_back(
+                {.number = i + 1,
+                 .run = {{.job = "j", .index = i}, 1},
+                 .outcome = i < listed_at_once ? run_outcome::done : later});
+        }
+        this->test.answer("a", report);
+        this->test.answer("b", this->test.report());
+    }
+
+    std::vector<start_order> step()
+    {
+        this->test.wait(100);
+        return this->test.take<start_order>();
+    }
+
+    void commit()
+    {
+        this->test.decisions.on_committed(this->test.decisions.take_commit(50));
+    }
+
+    std::uint32_t count;
+    fixture test{2, true};
+};
+
+} // namespace
+
+// Guards against TWICE (review/11): a worker with more ends than one report
+// holds counted as accounted for with the first 500, and the tasks of the
+// others started again.
+TEST_CASE("tasks wait for all ends of a worker that lists them in parts")
+{
+    for (std::uint32_t const count : {499U, 500U, 501U, 1000U, 2400U}) {
+        // Also while the store is silent for longer than any lease.
+        for (int const silent_steps : {0, 200}) {
+            CAPTURE(count);
+            CAPTURE(silent_steps);
+            many_ends world{count};
+            std::size_t starts = 0;
+            for (int i = 0; i < silent_steps; ++i) {
+                world.report();
+                starts += world.step().size();
+            }
+            // A round for each part, and one for a list that just fits.
+            for (std::uint32_t i = 0; i <= count / 500; ++i) {
+                world.report();
+                starts += world.step().size();
+                world.commit();
+                starts += world.step().size();
+            }
+            CHECK(starts == 0);
+            CHECK(world.test.decisions.state_of("j") == job_state::completed);
+            CHECK(world.test.decisions.is_recovered(world.test.now));
+        }
+    }
+}
+
+// Guards against the same fault: ends as failed count as attempts as well.
+TEST_CASE("failed runs that are listed in parts count before a task starts")
+{
+    many_ends world{800};
+    world.test.decisions.set_queues(
+        {{.name = "q", .service = "s", .max_attempts = 1}});
+    for (int i = 0; i < 2; ++i) {
+        world.report(run_outcome::failed);
+        CHECK(world.step().empty());
+        world.commit();
+        CHECK(world.step().empty());
+    }
+    CHECK(world.test.decisions.state_of("j") == job_state::failed);
+}
+
+// Guards against tasks that wait for ever: the worker with the ends is lost,
+// and what it did not list binds nobody once its lease is over.
+TEST_CASE("tasks start when the lease of a worker with unlisted ends is over")
+{
+    many_ends world{1200};
+    world.report();
+    world.commit();
+    std::size_t starts = 0;
+    int steps = 0;
+    constexpr int longest = 200; // 20 s
+    for (; starts == 0 && steps < longest; ++steps) {
+        world.test.decisions.on_look(
+            "a", order_status::unknown, {}, world.test.now, world.test.now);
+        world.test.answer("b", world.test.report());
+        starts = world.step().size();
+    }
+    CHECK(starts > 0);
+    CHECK(steps > 60); // not before a lease of 6 s that an earlier leader gave
+}
+
 // Guards against TWICE: a deposed leader grants leases for 2.5 s at most, but
 // the row of a job that it started then may reach its successor later.
 TEST_CASE("a job whose row comes late counts as inherited")
