--- a/libs/jobs/include/foxtaillift/jobs/host_state.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/host_state.hpp
@@ -48,7 +48,7 @@
 struct submission_outcome
 {
     request_outcome outcome = request_outcome::unknown;
-    base::duration retry_after{}; ///< if rejected
+    base::duration retry_after{}; ///< if rejected; if refused, 0: any time
 };
 using submission_callback = std::function<void(submission_outcome const&)>;
 
--- a/libs/jobs/include/foxtaillift/jobs/job.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/job.hpp
@@ -4,6 +4,7 @@
 #include "foxtaillift/base/clock.hpp"
 
 #include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -105,6 +106,10 @@
 /// empty step, a dependency that is not an earlier step, a negative amount.
 void check(job_spec const& job);
 
+/// Memory that a leader needs for a job that has not begun, by estimate
+/// [bytes]. What runs of it takes more.
+[[nodiscard]] std::size_t memory_of(job_spec const& job);
+
 /// Names one task of a job.
 struct task_name
 {
--- a/libs/jobs/include/foxtaillift/jobs/leader.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/leader.hpp
@@ -180,7 +180,7 @@
     /// Makes a submission durable and adds its job. The callback comes once,
     /// with `done`, `not_done`, `unknown`, for a job that was cancelled before
     /// `conflict`, for one that was rejected before `barred`, or `rejected` if
-    /// it cannot be served, possibly from within the call.
+    /// it cannot be served, or `full`, possibly from within the call.
     void submit(submission_batch::submission wanted, rejection_use use)
     {
         if (this->decisions.state_of(wanted.job)) {
@@ -191,8 +191,15 @@
             wanted.callback({.status = store_status::not_done});
             return;
         }
+        bool const is_full = !this->has_memory_for(wanted);
+        if (is_full && !this->may_reject_now(wanted, use)) {
+            wanted.callback({.status = store_status::full});
+            return;
+        }
         if (use == rejection_use::none) {
             hide_rejections(wanted);
+        } else if (is_full) {
+            this->reject_for_memory(wanted);
         } else if (
             use == rejection_use::allowed && this->may_reject() &&
             wanted.replaces == this->writer->rejection_version_of(wanted.job)) {
@@ -246,6 +253,12 @@
     /// only while a majority of workers knows no higher token.
     static constexpr base::duration confirmed_time = base::milliseconds(2000);
     static constexpr base::duration majority_span = base::milliseconds(2500);
+    /// Jobs end within seconds to minutes.
+    static constexpr base::duration memory_retry = base::seconds(5);
+    /// A job in memory takes at most this many times its encoding, beside its
+    /// frame: a step of 30 bytes has some 500.
+    static constexpr std::size_t memory_factor = 16;
+    static constexpr std::size_t memory_of_frame = 2048;
     /// Decisions take at most half of the time.
     static constexpr std::int64_t rest_factor = 1;
 
@@ -269,6 +282,48 @@
                this->writer->may_reject();
     }
 
+    /// Also beside the submissions that are not written yet. A copy of one of
+    /// these needs none.
+    [[nodiscard]] bool
+    has_memory_for(submission_batch::submission const& wanted) const
+    {
+        if (this->writer->is_held(wanted.job)) {
+            return true;
+        }
+        auto const size_of = [](std::size_t count, std::size_t encoded) {
+            return count * memory_of_frame + encoded * memory_factor;
+        };
+        auto const held = this->writer->held_submissions();
+        return this->decisions.has_memory_for(
+            size_of(held.count, held.bytes) + size_of(1, wanted.value.size()));
+    }
+
+    /// The promise that the job never runs is durable, or is not made.
+    [[nodiscard]] bool may_reject_now(
+        submission_batch::submission const& wanted, rejection_use use) const
+    {
+        bool const is_barred =
+            wanted.replaces != this->writer->rejection_version_of(wanted.job);
+        return is_barred ||
+               (use == rejection_use::allowed && this->writer->may_reject());
+    }
+
+    /// Makes a rejection of it, if it is not barred anyway.
+    void reject_for_memory(submission_batch::submission& wanted)
+    {
+        if (wanted.replaces != this->writer->rejection_version_of(wanted.job)) {
+            return;
+        }
+        wanted.is_rejection = true;
+        wanted.retry_after = memory_retry;
+        this->ports.log(base::event_line{"job_rejected"}
+                            .add("job", wanted.job)
+                            .add("reason", "memory")
+                            .add("bytes", wanted.value.size())
+                            .add("jobs", this->decisions.job_count())
+                            .add("retry_after_ms", memory_retry));
+    }
+
     /// For a host of an earlier version, which takes the row of a rejection for
     /// that of an accepted job.
     static void hide_rejections(submission_batch::submission& wanted)
@@ -495,6 +550,8 @@
                 .add("exceeding_runs", load.exceeding_runs)
                 .add("memory_mb", load.capacity.memory_mb)
                 .add("used_mb", load.used.memory_mb)
+                .add("job_bytes", load.job_memory)
+                .add("job_bytes_limit", this->options.scheduling.job_memory)
                 .add("decisions", this->decision_count)
                 .add("deciding_ms", this->deciding)
                 .add("writes", writes.count)
--- a/libs/jobs/include/foxtaillift/jobs/record_writer.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/record_writer.hpp
@@ -251,6 +251,15 @@
     {
         return this->rejected.size();
     }
+    /// The job is in the write that is out or waits for the next one.
+    [[nodiscard]] bool is_held(std::string const& job) const
+    {
+        return this->submissions.is_held(job);
+    }
+    [[nodiscard]] submission_batch::held_amount held_submissions() const
+    {
+        return this->submissions.held();
+    }
     /// Another rejection row may be written.
     [[nodiscard]] bool may_reject() const
     {
--- a/libs/jobs/include/foxtaillift/jobs/rows.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/rows.hpp
@@ -56,6 +56,7 @@
     // Of a submission only:
     rejected, ///< not accepted, which is durable; see `rejection_value`
     barred,   ///< nothing was changed: the job was rejected before
+    full,     ///< not taken: the leader has no memory for the job
 };
 
 std::string_view to_string(store_status status);
--- a/libs/jobs/include/foxtaillift/jobs/scheduler.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/scheduler.hpp
@@ -34,6 +34,9 @@
     /// How long a look waits for an end when nothing else is due. While its
     /// answer is lost, the worker is not heard for this long.
     base::duration look_wait = base::milliseconds(1000);
+    /// Memory that all jobs may take for new ones to be accepted, by estimate
+    /// [bytes]; 0: any.
+    std::size_t job_memory = 0;
     /// One line for each decision; may be empty.
     std::function<void(base::event_line const&)> log{};
 };
@@ -95,6 +98,7 @@
         std::size_t worthless = 0; ///< not even that
     };
     std::map<std::string, queue_load> queues{}; ///< by name
+    std::size_t job_memory = 0; ///< of all jobs, by estimate [bytes]
 };
 
 /// Whether a new job can still be worth anything to its caller, and what the
@@ -285,6 +289,8 @@
     [[nodiscard]] std::size_t running_count() const;
     [[nodiscard]] fleet_load load(base::instant now) const;
     [[nodiscard]] std::size_t job_count() const;
+    /// Another job, with this much of memory at most [bytes], may be accepted.
+    [[nodiscard]] bool has_memory_for(std::size_t size) const;
     /// Services and kinds of tasks that submissions were decided for lately.
     [[nodiscard]] std::vector<admission_load>
     admission(base::instant now) const;
--- a/libs/jobs/include/foxtaillift/jobs/submission_batch.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/submission_batch.hpp
@@ -62,6 +62,13 @@
     /// The job is in that write or waits for the next one.
     [[nodiscard]] bool is_held(std::string_view job) const;
     [[nodiscard]] bool is_waiting() const { return !this->waiting.empty(); }
+    /// What waits or is in the write that is out.
+    struct held_amount
+    {
+        std::size_t count = 0;
+        std::size_t bytes = 0; ///< of the encodings
+    };
+    [[nodiscard]] held_amount held() const;
 
     /// Chooses the submissions of the next write, at most `limit` usual ones
     /// and as many as `longest_values` allows.
--- a/libs/jobs/include/foxtaillift/jobs/submitter.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/submitter.hpp
@@ -10,6 +10,7 @@
 #include "foxtaillift/jobs/submission_batch.hpp"
 
 #include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -45,6 +46,7 @@
         auto request = std::make_shared<submission>();
         request->id = job.id;
         request->value = encode(job);
+        request->memory = memory_of(job);
         request->began_at = this->host->ports.now();
         request->give_up_at = request->began_at + deadline;
         request->callback = std::move(callback);
@@ -65,6 +67,7 @@
         base::instant began_at{};
         base::instant give_up_at{};
         submission_callback callback{};
+        std::size_t memory = 0;    ///< of the job; 0 once it was counted
         std::int64_t replaces = 0; ///< version of the job's rejection row
         bool may_have_run = false; ///< a copy whose outcome is not known
         bool is_sent = false;      ///< a copy is out
@@ -74,6 +77,11 @@
     static constexpr base::duration leader_check = base::milliseconds(200);
     /// Before a request whose outcome is unknown is sent again.
     static constexpr base::duration retry_gap = base::milliseconds(150);
+    /// Until another host leads, at the most times.
+    static constexpr base::duration leader_gap = base::seconds(2);
+    /// The hosts of a system together write as much without a leader as one
+    /// leader has the memory for.
+    static constexpr std::size_t most_hosts = 64;
     /// A host that has heard the store this recently writes at once.
     static constexpr base::duration store_known = base::milliseconds(500);
 
@@ -111,6 +119,7 @@
 
     void submit_here(submission_ptr const& request)
     {
+        this->written_alone = 0;
         request->is_sent = true;
         this->host->led->submit(
             {.job = request->id,
@@ -137,6 +146,11 @@
                 *request, request_outcome::rejected, answer.retry_after);
             return;
         }
+        if (status == store_status::full) {
+            // Nothing durable keeps a copy that another host sent from running.
+            this->finish(*request, request_outcome::unknown);
+            return;
+        }
         if (status == store_status::barred) {
             this->submit_over(request, answer);
             return;
@@ -221,6 +235,7 @@
         submission_ptr const& request, std::optional<peer_reply> const& reply)
     {
         if (reply && reply->submission && is_decided(*reply->submission)) {
+            this->written_alone = 0;
             this->on_submitted(
                 request, {.status = *reply->submission,
                           .retry_after = reply->retry_after,
@@ -300,6 +315,14 @@
         if (this->is_late(*request)) {
             return;
         }
+        if (!this->may_write_alone(*request)) {
+            this->finish(
+                *request,
+                request->may_have_run ? request_outcome::unknown
+                                      : request_outcome::refused,
+                leader_gap);
+            return;
+        }
         request->is_sent = true;
         row_change change;
         change.conditions = {
@@ -357,7 +380,21 @@
         return status == store_status::done ||
                status == store_status::conflict ||
                status == store_status::rejected ||
-               status == store_status::barred;
+               status == store_status::barred || status == store_status::full;
+    }
+
+    /// Counts the job towards what this host has written since it last heard a
+    /// leader, which does not know it. False if that is too much: no leader
+    /// may have the memory for what all hosts write.
+    bool may_write_alone(submission& request)
+    {
+        auto const limit =
+            this->host->options.leading.scheduling.job_memory / most_hosts;
+        if (limit > 0 && this->written_alone + request.memory > limit) {
+            return false;
+        }
+        this->written_alone += std::exchange(request.memory, 0);
+        return true;
     }
 
     void submit_again(submission_ptr const& request)
@@ -392,6 +429,7 @@
     }
 
     std::shared_ptr<host_state<Ports>> host;
+    std::size_t written_alone = 0; ///< see may_write_alone()
 };
 
 } // namespace foxtaillift::jobs
--- a/libs/jobs/src/job_table.cpp
+++ b/libs/jobs/src/job_table.cpp
@@ -5,25 +5,6 @@
 namespace foxtaillift::jobs
 {
 
-std::string_view to_string(run_release reason)
-{
-    switch (reason) {
-    case run_release::none:
-        return "none";
-    case run_release::ended:
-        return "ended";
-    case run_release::absent:
-        return "absent";
-    case run_release::not_started:
-        return "not_started";
-    case run_release::lease_over:
-        return "lease_over";
-    case run_release::other_worker:
-        return "other_worker";
-    }
-    return "none";
-}
-
 namespace
 {
 
@@ -66,11 +47,14 @@
     job.is_started = progress.state != job_state::queued;
     auto const count = std::min(progress.done.size(), job.tasks.size());
     for (std::size_t i = 0; i < count; ++i) {
-        job.tasks[i].is_done = progress.done[i];
+        if (progress.done[i]) {
+            job.tasks.set_done(i);
+        }
     }
     for (auto const& record : progress.tasks) {
-        if (record.ordinal < job.tasks.size()) {
-            auto& task = job.tasks[record.ordinal];
+        if (record.ordinal < job.tasks.size() &&
+            !job.tasks.is_done(record.ordinal)) {
+            auto& task = job.tasks.edit(record.ordinal);
             task.attempt = record.attempt;
             task.failed_attempts = record.failed_attempts;
             task.checkpoint = record.checkpoint;
@@ -80,16 +64,23 @@
 
 void count_tasks(job_entry& job)
 {
-    for (std::size_t i = 0; i < job.tasks.size(); ++i) {
-        auto& step = job.steps[job.step_slot(job.name_of(i))];
-        if (job.tasks[i].is_done) {
-            ++step.done;
-            ++job.done;
-        } else {
-            ++step.idle;
-            ++job.idle;
+    std::size_t ordinal = 0;
+    for (std::size_t slot = 0; slot < job.steps.size(); ++slot) {
+        auto const count = job.spec.steps[slot % job.spec.steps.size()].count;
+        std::uint32_t done = 0;
+        for (auto const end = ordinal + count; ordinal < end; ++ordinal) {
+            done += job.tasks.is_done(ordinal) ? 1 : 0;
+        }
+        job.done += done;
+        if (done == count) {
+            job.steps.finish(slot);
+        } else if (done > 0) {
+            auto& step = job.steps.edit(slot);
+            step.done = done;
+            step.idle = count - done;
         }
     }
+    job.idle = job.tasks.size() - job.done;
 }
 
 } // namespace
@@ -148,21 +139,82 @@
     auto const first = std::size_t{occurrence} * this->spec.steps.size();
     auto const& depends = this->spec.steps[step].depends_on;
     return std::all_of(depends.begin(), depends.end(), [&](auto dependency) {
-        return this->steps[first + dependency].done ==
+        return this->steps.done(first + dependency) ==
                this->spec.steps[dependency].count;
     });
 }
 
+bool job_entry::is_over(std::uint32_t occurrence) const
+{
+    auto const each = this->spec.steps.size();
+    auto const first = occurrence * each;
+    for (auto slot = first; slot < first + each; ++slot) {
+        if (!this->steps.is_finished(slot)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+std::vector<std::size_t> job_entry::idle_lasting_tasks() const
+{
+    constexpr std::uint32_t occurrences_regarded = 64;
+    std::vector<std::size_t> result;
+    if (this->idle == 0 || !this->has_lasting_step) {
+        return result;
+    }
+    auto const add = [&](std::size_t i) {
+        if (this->tasks[i].runs.empty()) {
+            result.push_back(i);
+        }
+    };
+    auto const each = static_cast<std::uint32_t>(this->spec.steps.size());
+    auto const end = std::min(
+        this->spec.occurrences(), this->first_open + occurrences_regarded);
+    for (auto k = this->first_open; k < end; ++k) {
+        for (std::uint32_t step = 0; step < each; ++step) {
+            if (!this->spec.steps[step].is_lasting ||
+                this->steps.idle(std::size_t{k} * each + step) == 0) {
+                continue;
+            }
+            auto const first = this->first_task(k, step);
+            for (std::size_t i = 0; i < this->spec.steps[step].count; ++i) {
+                add(first + i);
+            }
+        }
+    }
+    auto const& begun = this->tasks.entries();
+    for (auto later = begun.lower_bound(end * this->tasks_in_occurrence());
+         later != begun.end(); ++later) {
+        if (this->spec.steps[this->name_of(later->first).step].is_lasting) {
+            add(later->first);
+        }
+    }
+    return result;
+}
+
 std::size_t job_entry::waiting_tasks() const
 {
     std::size_t count = 0;
     auto const each = this->spec.steps.size();
-    for (std::size_t slot = 0; slot < this->steps.size(); ++slot) {
+    auto const add = [&](std::size_t slot, std::uint32_t amount) {
         auto const occurrence = static_cast<std::uint32_t>(slot / each);
         auto const step = static_cast<std::uint32_t>(slot % each);
-        if (this->steps[slot].idle > 0 && this->is_ready(occurrence, step)) {
-            count += this->steps[slot].idle;
+        count += amount > 0 && this->is_ready(occurrence, step) ? amount : 0;
+    };
+    if (this->spec.repeats == 0) {
+        for (std::size_t slot = 0; slot < this->steps.size(); ++slot) {
+            add(slot, this->steps.idle(slot));
         }
+        return count;
+    }
+    for (auto const& [slot, entry] : this->steps.entries()) {
+        add(slot, entry.idle);
+    }
+    for (std::size_t i = 0; i < each; ++i) {
+        auto const& step = this->spec.steps[i];
+        count +=
+            step.depends_on.empty() ? this->steps.unused(i) * step.count : 0;
     }
     return count;
 }
@@ -175,9 +227,9 @@
     }
     for (std::size_t i = 0; i < this->spec.steps.size(); ++i) {
         auto const& step = this->spec.steps[i];
-        if (this->steps[i].done < step.count) {
+        if (this->steps.done(i) < step.count) {
             auto const own =
-                this->steps[i].idle > 0 ? step.estimate : base::duration{};
+                this->steps.idle(i) > 0 ? step.estimate : base::duration{};
             longest = std::max(longest, own + this->chain_after[i]);
         }
     }
@@ -193,10 +245,9 @@
     }
     for (std::size_t i = 0; i < this->spec.steps.size(); ++i) {
         auto const& step = this->spec.steps[i];
-        auto const& entry = this->steps[i];
         if (!step.is_lasting) {
-            double const waiting = entry.idle;
-            double const runs = step.count - entry.done - entry.idle;
+            double const waiting = this->steps.idle(i);
+            double const runs = step.count - this->steps.done(i) - waiting;
             sum += (waiting + left_of_run * runs) * work_of_task(step);
         }
     }
@@ -205,15 +256,13 @@
 
 job_progress job_entry::progress() const
 {
-    job_progress result{.state = this->state};
-    result.done.resize(this->tasks.size());
-    for (std::size_t i = 0; i < this->tasks.size(); ++i) {
-        auto const& task = this->tasks[i];
-        result.done[i] = task.is_done;
-        if (!task.is_done && (!task.failed_attempts.empty() ||
-                              task.attempt > 1 || !task.checkpoint.empty())) {
+    job_progress result{.state = this->state, .done = this->tasks.done_tasks()};
+    for (auto const& [ordinal, task] : this->tasks.entries()) {
+        if (!this->tasks.is_done(ordinal) &&
+            (!task.failed_attempts.empty() || task.attempt > 1 ||
+             !task.checkpoint.empty())) {
             result.tasks.push_back(
-                {.ordinal = static_cast<std::uint32_t>(i),
+                {.ordinal = static_cast<std::uint32_t>(ordinal),
                  .attempt = task.attempt,
                  .failed_attempts = task.failed_attempts,
                  .checkpoint = task.checkpoint});
@@ -222,6 +271,35 @@
     return result;
 }
 
+std::size_t job_entry::bytes() const
+{
+    /// Of a node of a map, and of what its entry refers to.
+    constexpr std::size_t node = 100;
+    return this->fixed_bytes +
+           this->tasks.entries().size() *
+               (sizeof(task_entry) + sizeof(run_entry) + node) +
+           this->steps.entries().size() * (sizeof(step_entry) + node);
+}
+
+std::size_t memory_of(job_spec const& spec)
+{
+    /// Of the job in tables of jobs, and of its strings.
+    constexpr std::size_t frame = 500;
+    constexpr std::size_t bits_per_byte = 8;
+    std::size_t size = sizeof(job_entry) + frame + spec.payload.size();
+    std::size_t tasks = 0;
+    for (auto const& step : spec.steps) {
+        size += sizeof(step) + sizeof(step_entry) +
+                step.depends_on.size() * sizeof(std::uint32_t) +
+                step.required_label.size() + step.preferred_rack.size() +
+                step.image.size();
+        tasks += step.count;
+    }
+    // A bit of each task and of each step.
+    auto const bits = (tasks + spec.steps.size()) * spec.occurrences();
+    return size + bits / bits_per_byte;
+}
+
 bool is_racing(step const& step)
 {
     return step.may_race && !step.is_gang && !step.is_lasting;
@@ -237,10 +315,14 @@
     for (auto const& step : job.spec.steps) {
         job.work += step.count * work_of_task(step);
     }
+    job.has_lasting_step = std::any_of(
+        job.spec.steps.begin(), job.spec.steps.end(),
+        [](step const& each) { return each.is_lasting; });
     job.has_racing_step =
         std::any_of(job.spec.steps.begin(), job.spec.steps.end(), is_racing);
-    job.steps.resize(job.spec.occurrences() * job.spec.steps.size());
-    job.tasks.resize(job.spec.occurrences() * job.tasks_in_occurrence());
+    job.steps = step_table{job.spec.steps, job.spec.occurrences()};
+    job.tasks = task_table{job.spec.occurrences() * job.tasks_in_occurrence()};
+    job.fixed_bytes = memory_of(job.spec);
     if (progress) {
         apply(job, *progress);
     }
--- a/libs/jobs/src/job_table.hpp
+++ b/libs/jobs/src/job_table.hpp
@@ -3,9 +3,9 @@
 
 #include "dispatch_order.hpp"
 #include "obstacle.hpp"
+#include "task_table.hpp"
 
 #include "foxtaillift/base/clock.hpp"
-#include "foxtaillift/jobs/interference.hpp"
 #include "foxtaillift/jobs/job.hpp"
 #include "foxtaillift/jobs/progress.hpp"
 
@@ -20,97 +20,6 @@
 namespace foxtaillift::jobs
 {
 
-enum class run_phase
-{
-    starting, ///< ordered, no answer yet
-    unknown,  ///< the start's answer was lost
-    running,
-    stopping,
-};
-
-/// One run of a task that is present on a worker or may be.
-struct run_entry
-{
-    std::size_t worker = 0;
-    std::uint32_t attempt = 0;
-    run_phase phase = run_phase::starting;
-    base::instant started_at{};
-    base::instant settled_at{}; ///< last answer that changed the phase
-    int percent = -1;           ///< as last reported; negative: never
-    base::instant progressed_at{};
-    /// Progress of which the report told first, and the time at full speed that
-    /// the run has worked since, by the processors that it used.
-    int first_percent = -1;
-    base::instant first_percent_at{};
-    double worked_ms = 0;
-    base::instant measured_at{};
-    int pace = 100; ///< percent, as ordered last
-    base::instant paced_at{};
-    bool is_pace_out = false; ///< the order is not answered yet
-    /// An order of another pace that was not answered may be carried out until
-    /// then.
-    base::instant pace_doubtful_until{-1'000'000};
-    /// Since when a filling run is to work at a small part of its speed.
-    std::optional<base::instant> slowed_since{};
-    std::optional<base::instant> stop_confirmed_at{};
-};
-
-/// Why a run of a task counts as over.
-enum class run_release
-{
-    none,         ///< the task has had no run
-    ended,        ///< its worker listed the end
-    absent,       ///< its worker does not list it any more
-    not_started,  ///< the start was refused
-    lease_over,   ///< nothing can run under the leases of its worker
-    other_worker, ///< another worker answers at the address
-};
-
-std::string_view to_string(run_release reason);
-
-struct task_entry
-{
-    bool is_done = false;
-    std::uint32_t attempt = 0; ///< highest that was started
-    std::vector<std::uint32_t> failed_attempts{};
-    std::string checkpoint{};
-    base::instant not_before{};
-    run_release released_by = run_release::none; ///< its last run
-    /// When a report last spoke for the presence of its last run.
-    base::instant last_present{};
-    std::optional<std::size_t> avoided_worker{}; ///< where it failed last
-    std::uint32_t stalls = 0;                    ///< runs of it that were stuck
-    std::vector<run_entry> runs{};
-};
-
-/// What an adviser said of the workers for one step.
-struct step_advice
-{
-    struct verdict
-    {
-        std::string ticket{};        ///< empty: the worker may not run it
-        std::int64_t born_ms = 0;    ///< life of the worker that it holds for
-        base::instant valid_until{}; ///< of the ticket
-    };
-    std::map<std::size_t, verdict> verdicts{}; ///< by worker
-    bool is_asked = false;                     ///< a call is out
-    base::instant ask_after{};
-};
-
-/// One step of one occurrence.
-struct step_entry
-{
-    std::uint32_t done = 0;
-    std::uint32_t idle = 0;    ///< neither done nor with a run
-    base::instant ready_at{};  ///< when it could first start; 0: not yet
-    headroom_track headroom{}; ///< of its serving tasks
-    step_advice advice{};      ///< where the queue has an adviser
-    /// Keeps room for a starving task of the step.
-    std::optional<std::size_t> kept_worker{};
-    base::instant kept_at{-1'000'000}; ///< last run that regarded it
-    base::instant keep_search_due{-1'000'000};
-};
-
 /// Why a task last got no worker.
 struct waiting_task
 {
@@ -141,9 +50,15 @@
     base::duration chain{}; ///< longest chain of estimates
     std::vector<base::duration> chain_before{}; ///< by step, without it
     std::vector<base::duration> chain_after{};  ///< by step, without it
-    bool has_racing_step = false;               ///< see is_racing()
-    std::vector<step_entry> steps{};            ///< by occurrence, then step
-    std::vector<task_entry> tasks{};            ///< by ordinal
+    bool has_lasting_step = false;
+    bool has_racing_step = false; ///< see is_racing()
+    step_table steps{};
+    task_table tasks{};
+    std::uint32_t first_open = 0; ///< occurrences before it are done
+    /// Of a scheduled job: where the next look beyond the oldest begins.
+    std::uint32_t next_occurrence = 0;
+    std::size_t fixed_bytes = 0;   ///< see bytes()
+    std::size_t counted_bytes = 0; ///< in the sum of all jobs
 
     [[nodiscard]] std::size_t step_slot(task_name const& name) const;
     [[nodiscard]] std::size_t
@@ -155,7 +70,9 @@
     /// All tasks of the steps that it depends on are done.
     [[nodiscard]] bool
     is_ready(std::uint32_t occurrence, std::uint32_t step) const;
-    /// Tasks without a run whose steps may start; times are not regarded.
+    /// Tasks without a run whose steps may start; times are not regarded. Of a
+    /// scheduled job, a step counts from the first look at it after the steps
+    /// that it depends on.
     [[nodiscard]] std::size_t waiting_tasks() const;
     /// The longest chain of estimates of what is not done. Steps whose tasks
     /// all have runs count as done, and timed jobs have no chain.
@@ -165,6 +82,13 @@
     [[nodiscard]] double work_left() const;
     [[nodiscard]] job_progress progress() const;
     [[nodiscard]] std::size_t tasks_in_occurrence() const;
+    /// Lasting tasks without a run, in order; of a scheduled job, all that had
+    /// one and those of the first occurrences.
+    [[nodiscard]] std::vector<std::size_t> idle_lasting_tasks() const;
+    /// All tasks of the occurrence are done.
+    [[nodiscard]] bool is_over(std::uint32_t occurrence) const;
+    /// Memory that the job takes now, by estimate.
+    [[nodiscard]] std::size_t bytes() const;
 };
 
 /// Copies of its tasks may run beside each other.
--- a/libs/jobs/src/rows.cpp
+++ b/libs/jobs/src/rows.cpp
@@ -35,6 +35,8 @@
         return "rejected";
     case store_status::barred:
         return "barred";
+    case store_status::full:
+        return "full";
     }
     return "unknown";
 }
--- a/libs/jobs/src/scheduler.cpp
+++ b/libs/jobs/src/scheduler.cpp
@@ -376,6 +376,7 @@
         }
     }
     for (auto const& [id, job] : this->impl->jobs) {
+        result.job_memory += job->bytes();
         if (is_final(job->state)) {
             continue;
         }
@@ -404,4 +405,10 @@
     return this->impl->jobs.size();
 }
 
+bool scheduler::has_memory_for(std::size_t size) const
+{
+    auto const limit = this->impl->options.job_memory;
+    return limit == 0 || this->impl->job_memory + size <= limit;
+}
+
 } // namespace foxtaillift::jobs
--- a/libs/jobs/src/scheduler_admission.cpp
+++ b/libs/jobs/src/scheduler_admission.cpp
@@ -102,7 +102,7 @@
             .is_in_time = age <= objective};
         for (std::size_t i = 0; i < spec.steps.size(); ++i) {
             if (!spec.steps[i].is_lasting) {
-                add_work(waiting.work, spec.steps[i], job->steps[i].idle);
+                add_work(waiting.work, spec.steps[i], job->steps.idle(i));
             }
         }
         if (waiting.work.total() > 0) {
--- a/libs/jobs/src/scheduler_advice.cpp
+++ b/libs/jobs/src/scheduler_advice.cpp
@@ -110,8 +110,11 @@
     base::instant now)
 {
     auto const* const queue = this->queue_of(job);
-    auto& known = job.steps[job.step_slot(task)].advice;
-    if (!queue->adviser || known.is_asked || now < known.ask_after ||
+    if (!queue->adviser) {
+        return;
+    }
+    auto& known = job.steps.edit(job.step_slot(task)).advice;
+    if (known.is_asked || now < known.ask_after ||
         this->advice_calls >= calls_at_once) {
         return;
     }
@@ -153,7 +156,7 @@
     if (!place) {
         return; // the job is over
     }
-    auto& known = place.job->steps[place.job->step_slot(first)].advice;
+    auto& known = place.job->steps.edit(place.job->step_slot(first)).advice;
     known.is_asked = false;
     if (!answer) {
         known.ask_after = now + ask_gap;
--- a/libs/jobs/src/scheduler_core.hpp
+++ b/libs/jobs/src/scheduler_core.hpp
@@ -300,12 +300,14 @@
     void lose_runs(std::size_t worker, run_release reason, base::instant now);
     void forget_orphan(std::size_t worker, run_name const& run);
     void forget_job(job_entry& job);
+    /// Call after entries of the job were added or removed.
+    void update_memory(job_entry& job);
     /// Takes over the runs of a job that were reported before its row.
     void adopt_orphans(job_entry& job, base::instant now);
     [[nodiscard]] occupancy occupancy_of(step const& step);
     /// Adds the job's lasting tasks that have no run.
-    static void add_lasting_waits(
-        fleet_load& load, job_entry const& job, base::instant now);
+    void add_lasting_waits(
+        fleet_load& load, job_entry const& job, base::instant now) const;
     void log(base::event_line const& line) const;
     /// By the configuration, or by the job's own terms if that does not name
     /// its queue; null if neither is known.
@@ -337,6 +339,7 @@
     base::duration inherited_lease; ///< the longest of earlier leaders
     std::map<std::string, queue, std::less<>> queues;
     bool is_configured = false; ///< `queues` are known
+    std::size_t job_memory = 0; ///< of all jobs, see job_entry::bytes()
     text_map<std::unique_ptr<job_entry>> jobs;
     /// States of jobs whose rows are gone, oldest first in `ended_order`.
     text_map<job_state> ended;
@@ -359,6 +362,8 @@
     std::size_t keep_searches_left = 0; ///< in the current run
     bool is_placing_starving = false;   ///< other tasks are passed over
     base::instant searched_at{};        ///< when the vacancies were found
+    base::instant placed_at{};          ///< when the last run began
+    std::int64_t wall_ahead_ms = 0;     ///< time of day less the clock, then
     std::size_t advice_calls = 0;       ///< that are out
     base::instant relocated_at{-1'000'000};
     std::size_t next_relocated = 0;    ///< worker that is regarded first
@@ -424,6 +429,9 @@
     [[nodiscard]] bool
     is_job_missing(base::instant seen_at, base::instant now) const;
     void on_end(std::size_t worker, reported_end const& end, base::instant now);
+    /// Keeps what the end says of a task that is not done.
+    void
+    note_attempt(job_entry& job, std::size_t ordinal, reported_end const& end);
     void on_done(job_entry& job, std::size_t ordinal, run_name const& run);
     void on_failed(
         job_entry& job,
@@ -579,10 +587,10 @@
 
     // scheduler_keeping.cpp
     /// A lasting task that waits for so long that it goes before short ones.
-    [[nodiscard]] static bool
-    is_starving(job_entry const& job, std::size_t ordinal, base::instant now);
-    [[nodiscard]] static bool
-    has_starving_task(job_entry const& job, base::instant now);
+    [[nodiscard]] bool is_starving(
+        job_entry const& job, std::size_t ordinal, base::instant now) const;
+    [[nodiscard]] bool
+    has_starving_task(job_entry const& job, base::instant now) const;
     /// Some workers get no work that would take the room which the starving
     /// tasks of this job wait for; until release_kept_room().
     void keep_room(job_entry& job, base::instant now);
@@ -637,9 +645,28 @@
         base::instant now);
     /// False if a task that needs no more of anything found no worker.
     [[nodiscard]] bool is_placeable(unplaceable const& wanted) const;
+    /// The same for occurrences from this one on, before `end`. Returns the
+    /// first one that it has not looked at.
+    std::uint32_t place_occurrences(
+        job_entry& job,
+        std::uint32_t from,
+        std::uint32_t end,
+        std::vector<worker_order>& orders,
+        base::instant now);
+    /// The same for one occurrence. Returns whether tasks of it that may start
+    /// go on waiting.
+    bool place_occurrence(
+        job_entry& job,
+        std::uint32_t occurrence,
+        std::vector<worker_order>& orders,
+        base::instant now);
+    /// When the step could first start; 0: not yet. A scheduled step that
+    /// depends on no other needs no entry for it.
+    [[nodiscard]] base::instant
+    ready_since(job_entry const& job, std::size_t slot) const;
     /// Since when the task has had no run, as far as this leader knows.
-    [[nodiscard]] static base::instant
-    waiting_since(job_entry const& job, std::size_t ordinal);
+    [[nodiscard]] base::instant
+    waiting_since(job_entry const& job, std::size_t ordinal) const;
     /// Adds the room of the service's workers that are usable, and of those
     /// that are barred.
     void add_room(
--- a/libs/jobs/src/scheduler_jobs.cpp
+++ b/libs/jobs/src/scheduler_jobs.cpp
@@ -4,6 +4,7 @@
 #include "scheduler_core.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace foxtaillift::jobs
 {
@@ -51,8 +52,8 @@
     this->log_dropped_queues();
     // Ends may be reported before the first configuration is known.
     for (auto& [id, job] : this->jobs) {
-        for (std::size_t i = 0; i < job->tasks.size(); ++i) {
-            this->end_if_exhausted(*job, i);
+        for (auto const& [ordinal, task] : job->tasks.entries()) {
+            this->end_if_exhausted(*job, ordinal);
         }
     }
 }
@@ -138,7 +139,11 @@
     if (taken.job == nullptr) {
         return nullptr;
     }
-    for (auto& entry : taken.job->tasks[taken.ordinal].runs) {
+    auto* const task = taken.job->tasks.find(taken.ordinal);
+    if (task == nullptr) {
+        return nullptr;
+    }
+    for (auto& entry : task->runs) {
         if (entry.worker == worker && entry.attempt == run.attempt) {
             return &entry;
         }
@@ -185,8 +190,9 @@
     auto& added =
         *this->jobs.emplace(std::move(id), std::move(job)).first->second;
     this->adopt_orphans(added, now);
-    for (std::size_t i = 0; i < added.tasks.size(); ++i) {
-        this->end_if_exhausted(added, i);
+    this->update_memory(added);
+    for (auto const& [ordinal, task] : added.tasks.entries()) {
+        this->end_if_exhausted(added, ordinal);
     }
 }
 
@@ -214,7 +220,7 @@
              .percent = orphan.percent,
              .pace = -1},
             now);
-        if (is_final(job.state) || job.tasks[*ordinal].is_done) {
+        if (is_final(job.state) || job.tasks.is_done(*ordinal)) {
             this->stop_run(orphan.worker, orphan.run);
         }
     }
@@ -273,9 +279,9 @@
     if (job.open_runs == 0) {
         return;
     }
-    for (std::size_t i = 0; i < job.tasks.size(); ++i) {
-        for (auto const& run : job.tasks[i].runs) {
-            this->stop_run(run.worker, {job.name_of(i), run.attempt});
+    for (auto const& [ordinal, task] : job.tasks.entries()) {
+        for (auto const& run : task.runs) {
+            this->stop_run(run.worker, {job.name_of(ordinal), run.attempt});
         }
     }
 }
@@ -289,11 +295,11 @@
 void scheduler::implementation::open_run(
     job_entry& job, std::size_t ordinal, run_entry run, base::instant now)
 {
-    auto& task = job.tasks[ordinal];
+    auto& task = job.tasks.edit(ordinal);
     auto const name = job.name_of(ordinal);
-    if (task.runs.empty() && !task.is_done) {
+    if (task.runs.empty() && !job.tasks.is_done(ordinal)) {
         --job.idle;
-        --job.steps[job.step_slot(name)].idle;
+        --job.steps.edit(job.step_slot(name)).idle;
     }
     task.attempt = std::max(task.attempt, run.attempt);
     auto& worker = this->workers[run.worker];
@@ -311,6 +317,7 @@
     run.progressed_at = now;
     task.runs.push_back(run);
     ++job.open_runs;
+    this->update_memory(job);
     if (!job.is_started) {
         job.is_started = true;
         if (job.state == job_state::queued) {
@@ -327,7 +334,11 @@
     std::uint32_t attempt,
     run_release reason)
 {
-    auto& task = job.tasks[ordinal];
+    auto* const begun = job.tasks.find(ordinal);
+    if (begun == nullptr) {
+        return;
+    }
+    auto& task = *begun;
     auto const found = std::find_if(
         task.runs.begin(), task.runs.end(), [&](run_entry const& run) {
             return run.worker == worker && run.attempt == attempt;
@@ -346,10 +357,11 @@
     this->workers[worker].release({name, attempt});
     this->stops.erase({worker, {name, attempt}});
     --job.open_runs;
-    if (task.runs.empty() && !task.is_done) {
+    if (task.runs.empty() && !job.tasks.is_done(ordinal)) {
         ++job.idle;
-        ++job.steps[job.step_slot(name)].idle;
+        ++job.steps.edit(job.step_slot(name)).idle;
     }
+    job.tasks.trim(ordinal);
     if (is_final(job.state) && job.open_runs == 0) {
         this->mark_dirty(job); // its rows can be removed now
     }
@@ -484,6 +496,7 @@
         }
         job->is_committing = false;
         job->durable_state = item.progress.state;
+        this->update_memory(*job);
         if (!item.is_removal) {
             continue;
         }
@@ -492,14 +505,21 @@
     }
 }
 
+void scheduler::implementation::update_memory(job_entry& job)
+{
+    auto const bytes = job.bytes();
+    this->job_memory += bytes - std::exchange(job.counted_bytes, bytes);
+}
+
 void scheduler::implementation::forget_job(job_entry& job)
 {
+    this->job_memory -= job.counted_bytes;
     // A run that a worker reported while its job was being removed is over
     // when the worker says so.
-    for (std::size_t i = 0; job.open_runs > 0 && i < job.tasks.size(); ++i) {
-        for (auto const& run : job.tasks[i].runs) {
+    for (auto const& [ordinal, task] : job.tasks.entries()) {
+        for (auto const& run : task.runs) {
             auto& runs = this->workers[run.worker].runs;
-            auto const found = runs.find({job.name_of(i), run.attempt});
+            auto const found = runs.find({job.name_of(ordinal), run.attempt});
             if (found != runs.end()) {
                 found->second.job = nullptr;
             }
--- a/libs/jobs/src/scheduler_keeping.cpp
+++ b/libs/jobs/src/scheduler_keeping.cpp
@@ -30,41 +30,31 @@
 } // namespace
 
 bool scheduler::implementation::is_starving(
-    job_entry const& job, std::size_t ordinal, base::instant now)
+    job_entry const& job, std::size_t ordinal, base::instant now) const
 {
     auto const& task = job.tasks[ordinal];
     if (!task.runs.empty()) {
         return false;
     }
     auto const name = job.name_of(ordinal);
-    auto const ready_at = job.steps[job.step_slot(name)].ready_at;
+    auto const ready_at = this->ready_since(job, job.step_slot(name));
     if (!job.spec.steps[name.step].is_lasting || ready_at == base::instant{}) {
         return false;
     }
     // How long a task of an earlier leader has waited is not known.
     bool const is_unknown =
         job.is_inherited && task.last_present == base::instant{};
-    return is_unknown || now - waiting_since(job, ordinal) >= starving_after;
+    return is_unknown ||
+           now - this->waiting_since(job, ordinal) >= starving_after;
 }
 
 bool scheduler::implementation::has_starving_task(
-    job_entry const& job, base::instant now)
+    job_entry const& job, base::instant now) const
 {
-    auto const& steps = job.spec.steps;
-    bool const may_starve =
-        job.idle > 0 &&
-        std::any_of(steps.begin(), steps.end(), [](step const& each) {
-            return each.is_lasting;
-        });
-    if (!may_starve) {
-        return false;
-    }
-    for (std::size_t i = 0; i < job.tasks.size(); ++i) {
-        if (is_starving(job, i, now)) {
-            return true;
-        }
-    }
-    return false;
+    auto const idle = job.idle_lasting_tasks();
+    return std::any_of(idle.begin(), idle.end(), [&](std::size_t each) {
+        return this->is_starving(job, each, now);
+    });
 }
 
 void scheduler::implementation::release_kept_room()
@@ -79,13 +69,16 @@
 void scheduler::implementation::keep_room(job_entry& job, base::instant now)
 {
     auto const limit = 1 + this->workers.size() / workers_by_kept_room;
-    for (std::size_t i = 0; i < job.tasks.size(); ++i) {
+    for (auto const i : job.idle_lasting_tasks()) {
         if (this->kept.size() >= limit) {
             return;
         }
         auto const name = job.name_of(i);
-        auto& step = job.steps[job.step_slot(name)];
-        if (!is_starving(job, i, now) || step.kept_at == now) {
+        if (!this->is_starving(job, i, now)) {
+            continue;
+        }
+        auto& step = job.steps.edit(job.step_slot(name));
+        if (step.kept_at == now) {
             continue; // one worker for each step
         }
         step.kept_at = now;
@@ -102,7 +95,7 @@
 void scheduler::implementation::choose_kept_worker(
     job_entry& job, task_name const& task, base::instant now)
 {
-    auto& step = job.steps[job.step_slot(task)];
+    auto& step = job.steps.edit(job.step_slot(task));
     auto const& wanted = job.spec.steps[task.step];
     auto const own = runs_by_worker(
         job, job.first_task(task.occurrence, task.step), wanted.count);
--- a/libs/jobs/src/scheduler_pacing.cpp
+++ b/libs/jobs/src/scheduler_pacing.cpp
@@ -158,7 +158,8 @@
         readings.push_back(
             {.run = &reported->run,
              .taken = taken,
-             .headroom = &job.steps[job.step_slot(reported->run.task)].headroom,
+             .headroom =
+                 &job.steps.edit(job.step_slot(reported->run.task)).headroom,
              .tail_over_target = static_cast<double>(reported->recent) /
                                  static_cast<double>(taken->tail_target_ms)});
     }
--- a/libs/jobs/src/scheduler_placing.cpp
+++ b/libs/jobs/src/scheduler_placing.cpp
@@ -29,8 +29,27 @@
 /// it works for seconds, and a search compares all workers of the fleet.
 constexpr base::duration filling_retry = base::milliseconds(100);
 
-/// A timed task may start this much early at most; the callers allow 250 ms.
-constexpr std::int64_t due_slack_ms = 0;
+/// Of a scheduled job, the occurrences in one look, and those that it leaves
+/// waiting. Thousands may be due at once.
+constexpr std::uint32_t occurrences_in_look = 128;
+constexpr std::uint32_t waiting_in_look = 32;
+
+/// Occurrences of the job whose time has come.
+std::uint32_t due_occurrences(job_spec const& job, std::int64_t wall_ms)
+{
+    if (job.repeats == 0) {
+        return 1;
+    }
+    if (wall_ms < job.first_due_ms) {
+        return 0;
+    }
+    if (job.repeat_interval_ms == 0) {
+        return job.repeats;
+    }
+    auto const passed = (wall_ms - job.first_due_ms) / job.repeat_interval_ms;
+    return static_cast<std::uint32_t>(
+        std::min<std::int64_t>(job.repeats, passed + 1));
+}
 
 } // namespace
 
@@ -38,8 +57,10 @@
 runs_by_worker(job_entry const& job, std::size_t first, std::size_t count)
 {
     std::map<std::size_t, std::size_t> result;
-    for (std::size_t i = first; i < first + count; ++i) {
-        for (auto const& run : job.tasks[i].runs) {
+    auto const& begun = job.tasks.entries();
+    for (auto each = begun.lower_bound(first);
+         each != begun.end() && each->first < first + count; ++each) {
+        for (auto const& run : each->second.runs) {
             ++result[run.worker];
         }
     }
@@ -49,6 +70,8 @@
 void scheduler::implementation::place(
     std::vector<worker_order>& orders, base::instant now, std::int64_t wall_ms)
 {
+    this->placed_at = now;
+    this->wall_ahead_ms = wall_ms - now.ms;
     // Lasting tasks that have waited for long go first, whatever the order.
     this->arrange_jobs(now);
     auto const& candidates = this->dispatch_from.jobs;
@@ -105,25 +128,60 @@
     base::instant now,
     std::int64_t wall_ms)
 {
-    auto const step_count = job.spec.steps.size();
-    for (std::uint32_t k = 0; k < job.spec.occurrences(); ++k) {
-        if (job.spec.repeats > 0 &&
-            wall_ms + due_slack_ms <
-                job.spec.first_due_ms + k * job.spec.repeat_interval_ms) {
-            return;
+    auto const end = due_occurrences(job.spec, wall_ms);
+    while (job.first_open < end && job.is_over(job.first_open)) {
+        ++job.first_open;
+    }
+    auto const next =
+        this->place_occurrences(job, job.first_open, end, orders, now);
+    if (next < end && !this->is_placing_starving) {
+        // Later ones may wait for other workers than the oldest.
+        bool const goes_on =
+            next < job.next_occurrence && job.next_occurrence < end;
+        job.next_occurrence = this->place_occurrences(
+            job, goes_on ? job.next_occurrence : next, end, orders, now);
+    }
+}
+
+std::uint32_t scheduler::implementation::place_occurrences(
+    job_entry& job,
+    std::uint32_t from,
+    std::uint32_t end,
+    std::vector<worker_order>& orders,
+    base::instant now)
+{
+    end = std::min(end, from + occurrences_in_look);
+    std::uint32_t waiting = 0;
+    for (; from < end && waiting < waiting_in_look; ++from) {
+        waiting += this->place_occurrence(job, from, orders, now) ? 1 : 0;
+        if (this->starts_left == 0) {
+            break;
         }
-        for (std::uint32_t step = 0; step < step_count; ++step) {
-            if (job.steps[k * step_count + step].idle == 0 ||
-                !job.is_ready(k, step)) {
-                continue;
-            }
-            if (job.spec.steps[step].is_gang) {
-                this->place_gang(job, k, step, orders, now);
-            } else {
-                this->place_step(job, k, step, orders, now);
-            }
+    }
+    return from;
+}
+
+bool scheduler::implementation::place_occurrence(
+    job_entry& job,
+    std::uint32_t occurrence,
+    std::vector<worker_order>& orders,
+    base::instant now)
+{
+    auto const step_count = static_cast<std::uint32_t>(job.spec.steps.size());
+    bool waits = false;
+    for (std::uint32_t step = 0; step < step_count; ++step) {
+        auto const slot = std::size_t{occurrence} * step_count + step;
+        if (job.steps.idle(slot) == 0 || !job.is_ready(occurrence, step)) {
+            continue;
         }
+        if (job.spec.steps[step].is_gang) {
+            this->place_gang(job, occurrence, step, orders, now);
+        } else {
+            this->place_step(job, occurrence, step, orders, now);
+        }
+        waits |= job.steps.idle(slot) > 0;
     }
+    return waits;
 }
 
 void scheduler::implementation::place_step(
@@ -136,9 +194,10 @@
     auto const& wanted = job.spec.steps[step_number];
     auto const first = job.first_task(occurrence, step_number);
     auto const slot = occurrence * job.spec.steps.size() + step_number;
-    if (job.steps[slot].ready_at == base::instant{}) {
-        job.steps[slot].ready_at = now;
+    if (this->ready_since(job, slot) == base::instant{}) {
+        job.steps.edit(slot).ready_at = now;
     }
+    auto const ready_at = this->ready_since(job, slot);
     auto own = runs_by_worker(job, first, wanted.count);
     std::string own_rack;
     if (wanted.is_rack_bound && !own.empty()) {
@@ -154,8 +213,9 @@
         .own_rack = own_rack,
         .advice = this->advice_on(job, job.name_of(first))};
     for (std::size_t i = first; i < first + wanted.count; ++i) {
-        auto& task = job.tasks[i];
-        if (task.is_done || !task.runs.empty() || now < task.not_before ||
+        auto const& task = job.tasks[i];
+        if (job.tasks.is_done(i) || !task.runs.empty() ||
+            now < task.not_before ||
             (this->is_placing_starving && !is_starving(job, i, now))) {
             continue;
         }
@@ -167,7 +227,7 @@
             .image = image,
             .is_filling = wanted.is_filling,
             .is_serving = wanted.is_lasting,
-            .least_speed = least_speed_after(now - job.steps[slot].ready_at),
+            .least_speed = least_speed_after(now - ready_at),
             .need = wanted.need,
             .until = wanted.is_filling ? now + filling_retry : now};
         if (!this->is_placeable(kind)) {
@@ -179,7 +239,7 @@
             is_ranked = false;
         }
         if (!is_ranked || ranked.entries.empty()) {
-            auto const tasks_left = job.steps[slot].idle;
+            auto const tasks_left = job.steps.idle(slot);
             ranked = this->rank_workers(
                 job, search, this->sample_of(wanted, tasks_left));
             is_ranked = true;
@@ -220,10 +280,11 @@
         return;
     }
     auto const first = job.first_task(occurrence, step_number);
-    auto& ready_at = job.steps[job.step_slot(job.name_of(first))].ready_at;
-    if (ready_at == base::instant{}) {
-        ready_at = now;
+    auto const slot = job.step_slot(job.name_of(first));
+    if (this->ready_since(job, slot) == base::instant{}) {
+        job.steps.edit(slot).ready_at = now;
     }
+    auto const ready_at = this->ready_since(job, slot);
     std::uint32_t attempt = 0;
     std::string checkpoint;
     for (std::size_t i = first; i < first + wanted.count; ++i) {
@@ -270,7 +331,7 @@
     }
     undo(); // the starts occupy the room again
     for (auto const& [ordinal, w] : chosen) {
-        job.tasks[ordinal].checkpoint = checkpoint;
+        job.tasks.edit(ordinal).checkpoint = checkpoint;
         this->start(job, ordinal, w, attempt + 1, orders, now);
     }
 }
@@ -281,17 +342,17 @@
     if (!job.has_racing_step || job.open_runs == 0) {
         return;
     }
-    for (std::size_t i = 0; i < job.tasks.size(); ++i) {
-        auto const& task = job.tasks[i];
-        if (task.is_done || task.runs.size() != 1 || now < task.not_before) {
+    for (auto const& [ordinal, task] : job.tasks.entries()) {
+        if (job.tasks.is_done(ordinal) || task.runs.size() != 1 ||
+            now < task.not_before) {
             continue;
         }
-        auto const name = job.name_of(i);
+        auto const name = job.name_of(ordinal);
         auto const& wanted = job.spec.steps[name.step];
         auto const late =
             std::max(straggler_least, wanted.estimate * straggler_factor);
         if (is_racing(wanted) && now - task.runs.front().started_at >= late) {
-            this->race(job, i, orders, now);
+            this->race(job, ordinal, orders, now);
         }
     }
 }
@@ -356,27 +417,38 @@
 }
 
 base::instant scheduler::implementation::waiting_since(
-    job_entry const& job, std::size_t ordinal)
+    job_entry const& job, std::size_t ordinal) const
 {
     auto const slot = job.step_slot(job.name_of(ordinal));
-    return std::max(job.tasks[ordinal].last_present, job.steps[slot].ready_at);
+    return std::max(
+        job.tasks[ordinal].last_present, this->ready_since(job, slot));
 }
 
-void scheduler::implementation::add_lasting_waits(
-    fleet_load& load, job_entry const& job, base::instant now)
+base::instant scheduler::implementation::ready_since(
+    job_entry const& job, std::size_t slot) const
 {
-    if (job.idle == 0) {
-        return;
+    auto const ready_at = job.steps[slot].ready_at;
+    auto const each = job.spec.steps.size();
+    if (ready_at != base::instant{} || job.spec.repeats == 0 ||
+        !job.spec.steps[slot % each].depends_on.empty()) {
+        return ready_at;
     }
-    for (std::size_t i = 0; i < job.tasks.size(); ++i) {
-        auto const name = job.name_of(i);
-        bool const waits = job.spec.steps[name.step].is_lasting &&
-                           job.tasks[i].runs.empty() &&
-                           job.steps[job.step_slot(name)].ready_at.ms > 0;
-        if (waits) {
+    auto const occurrence = static_cast<std::int64_t>(slot / each);
+    base::instant const due{
+        job.spec.first_due_ms + occurrence * job.spec.repeat_interval_ms -
+        this->wall_ahead_ms};
+    return due > this->placed_at ? base::instant{} : std::max(due, job.seen_at);
+}
+
+void scheduler::implementation::add_lasting_waits(
+    fleet_load& load, job_entry const& job, base::instant now) const
+{
+    for (auto const i : job.idle_lasting_tasks()) {
+        auto const slot = job.step_slot(job.name_of(i));
+        if (this->ready_since(job, slot).ms > 0) {
             ++load.lasting_waiting;
             load.longest_lasting_wait = std::max(
-                load.longest_lasting_wait, now - waiting_since(job, i));
+                load.longest_lasting_wait, now - this->waiting_since(job, i));
         }
     }
 }
--- a/libs/jobs/src/scheduler_reports.cpp
+++ b/libs/jobs/src/scheduler_reports.cpp
@@ -334,11 +334,9 @@
     }
     this->close_run(
         *place.job, place.ordinal, index, end.run.attempt, run_release::ended);
-    auto& task = place.job->tasks[place.ordinal];
-    task.attempt = std::max(task.attempt, end.run.attempt);
-    if (!end.checkpoint.empty() && end.checkpoint != task.checkpoint) {
-        task.checkpoint = end.checkpoint;
-        this->mark_dirty(*place.job);
+    auto const& task = place.job->tasks[place.ordinal];
+    if (!place.job->tasks.is_done(place.ordinal)) {
+        this->note_attempt(*place.job, place.ordinal, end);
     }
     bool const is_lasting = place.job->spec.steps[end.run.task.step].is_lasting;
     if (end.outcome == run_outcome::done) {
@@ -359,6 +357,17 @@
     }
 }
 
+void scheduler::implementation::note_attempt(
+    job_entry& job, std::size_t ordinal, reported_end const& end)
+{
+    auto& task = job.tasks.edit(ordinal);
+    task.attempt = std::max(task.attempt, end.run.attempt);
+    if (!end.checkpoint.empty() && end.checkpoint != task.checkpoint) {
+        task.checkpoint = end.checkpoint;
+        this->mark_dirty(job);
+    }
+}
+
 void scheduler::implementation::doubt_worker(
     std::size_t index,
     job_entry const& job,
@@ -384,23 +393,25 @@
     auto const slot = job.step_slot(run.task);
     auto const& step = job.spec.steps[run.task.step];
     auto const mark = [&](std::size_t each) {
-        auto& task = job.tasks[each];
-        if (task.is_done) {
+        if (job.tasks.is_done(each)) {
             return;
         }
+        auto const& task = job.tasks[each];
+        auto& entry = job.steps.edit(slot);
         if (task.runs.empty()) {
             --job.idle;
-            --job.steps[slot].idle;
+            --entry.idle;
         }
-        task.is_done = true;
+        job.tasks.set_done(each);
         ++job.done;
-        ++job.steps[slot].done;
+        ++entry.done;
         this->note_work_done(job, step);
         for (auto const& copy : task.runs) {
             if (!step.is_gang) {
                 this->stop_run(copy.worker, {job.name_of(each), copy.attempt});
             }
         }
+        job.tasks.trim(each);
     };
     if (step.is_gang) {
         auto const first = job.first_task(run.task.occurrence, run.task.step);
@@ -410,6 +421,9 @@
     } else {
         mark(ordinal);
     }
+    if (job.steps.done(slot) == step.count) {
+        job.steps.finish(slot);
+    }
     this->mark_dirty(job);
     if (job.done == job.tasks.size() && !is_final(job.state)) {
         this->end_job(job, job_state::completed, "all tasks are done");
@@ -422,10 +436,13 @@
     std::size_t index,
     std::uint32_t attempt)
 {
-    auto& task = job.tasks[ordinal];
+    if (job.tasks.is_done(ordinal)) {
+        return;
+    }
+    auto& task = job.tasks.edit(ordinal);
     task.avoided_worker = index;
     auto const name = job.name_of(ordinal);
-    if (job.spec.steps[name.step].is_lasting || task.is_done) {
+    if (job.spec.steps[name.step].is_lasting) {
         return;
     }
     auto& failed = task.failed_attempts;
@@ -443,8 +460,8 @@
     auto const* const queue = this->queue_of(job);
     auto const& task = job.tasks[ordinal];
     auto const failures = task.failed_attempts.size();
-    if (queue == nullptr || failures < queue->max_attempts || task.is_done ||
-        is_final(job.state)) {
+    if (queue == nullptr || failures < queue->max_attempts ||
+        job.tasks.is_done(ordinal) || is_final(job.state)) {
         return;
     }
     this->end_job(
@@ -478,7 +495,7 @@
     auto& job = *taken.job;
     measure_work(*run, reported, job.spec.steps[reported.run.task.step], now);
     if (!reported.checkpoint.empty()) {
-        job.tasks[taken.ordinal].checkpoint = reported.checkpoint;
+        job.tasks.edit(taken.ordinal).checkpoint = reported.checkpoint;
     }
     bool const has_progressed = run->progressed_at > run->started_at;
     if (has_progressed && now - run->started_at >= sound_after) {
@@ -519,9 +536,10 @@
         }
         return;
     }
-    auto& task = place.job->tasks[place.ordinal];
+    auto& task = place.job->tasks.edit(place.ordinal);
     auto const& step = place.job->spec.steps[reported.run.task.step];
-    bool const is_wanted = !is_final(place.job->state) && !task.is_done &&
+    bool const is_wanted = !is_final(place.job->state) &&
+                           !place.job->tasks.is_done(place.ordinal) &&
                            (task.runs.empty() || step.may_race);
     this->open_run(
         *place.job, place.ordinal,
@@ -604,7 +622,7 @@
         entry->progressed_at = now;
         return;
     }
-    auto& task = job->tasks[taken.ordinal];
+    auto& task = job->tasks.edit(taken.ordinal);
     auto const limit = stall_limit(*entry, step, task.stalls);
     if (now - entry->progressed_at < limit) {
         return;
@@ -664,15 +682,19 @@
         return;
     }
     auto const ordinal = *job->ordinal(run.task);
-    auto& task = job->tasks[ordinal];
     this->close_run(
         *job, ordinal, index, run.attempt, run_release::not_started);
-    task.not_before = now + refused_gap;
+    bool const is_done = job->tasks.is_done(ordinal); // by a copy
+    if (!is_done) {
+        job->tasks.edit(ordinal).not_before = now + refused_gap;
+    }
     if (status == order_status::no_ticket) {
-        job->steps[job->step_slot(run.task)].advice.verdicts.erase(index);
+        job->steps.edit(job->step_slot(run.task)).advice.verdicts.erase(index);
         return; // the adviser is asked again
     }
-    task.avoided_worker = index;
+    if (!is_done) {
+        job->tasks.edit(ordinal).avoided_worker = index;
+    }
     this->workers[index].look_due = now;
 }
 
--- a/libs/jobs/src/submission_batch.cpp
+++ b/libs/jobs/src/submission_batch.cpp
@@ -41,6 +41,20 @@
         [&](submission const& each) { return each.job == job; });
 }
 
+submission_batch::held_amount submission_batch::held() const
+{
+    held_amount result;
+    auto const add = [&](auto const& list) {
+        result.count += list.size();
+        for (auto const& each : list) {
+            result.bytes += each.value.size();
+        }
+    };
+    add(this->waiting);
+    add(this->taken);
+    return result;
+}
+
 bool submission_batch::is_held(std::string_view job) const
 {
     return this->is_taken(job) ||
--- /dev/null
+++ b/libs/jobs/src/task_table.cpp
@@ -0,0 +1,108 @@
+#include "task_table.hpp"
+
+namespace foxtaillift::jobs
+{
+
+std::string_view to_string(run_release reason)
+{
+    switch (reason) {
+    case run_release::none:
+        return "none";
+    case run_release::ended:
+        return "ended";
+    case run_release::absent:
+        return "absent";
+    case run_release::not_started:
+        return "not_started";
+    case run_release::lease_over:
+        return "lease_over";
+    case run_release::other_worker:
+        return "other_worker";
+    }
+    return "none";
+}
+
+task_entry* task_table::find(std::size_t ordinal)
+{
+    auto const found = this->begun.find(ordinal);
+    return found == this->begun.end() ? nullptr : &found->second;
+}
+
+void task_table::trim(std::size_t ordinal)
+{
+    auto const found = this->begun.find(ordinal);
+    if (found != this->begun.end() && this->done[ordinal] &&
+        found->second.runs.empty()) {
+        this->begun.erase(found);
+    }
+}
+
+task_entry const& task_table::operator[](std::size_t ordinal) const
+{
+    static task_entry const never_begun{};
+    auto const found = this->begun.find(ordinal);
+    return found == this->begun.end() ? never_begun : found->second;
+}
+
+step_table::step_table(std::span<step const> steps, std::size_t occurrences)
+    : unused_by_step(steps.size(), occurrences)
+    , finished(steps.size() * occurrences)
+{
+    this->counts.reserve(steps.size());
+    for (auto const& each : steps) {
+        this->counts.push_back(each.count);
+    }
+}
+
+step_entry& step_table::edit(std::size_t slot)
+{
+    auto const number = slot % this->counts.size();
+    auto const [found, is_new] = this->begun.try_emplace(slot);
+    if (is_new && this->finished[slot]) {
+        found->second.done = this->counts[number];
+    } else if (is_new) {
+        found->second.idle = this->counts[number];
+        --this->unused_by_step[number];
+    }
+    return found->second;
+}
+
+void step_table::finish(std::size_t slot)
+{
+    if (!this->finished[slot] && !this->begun.contains(slot)) {
+        --this->unused_by_step[slot % this->counts.size()];
+    }
+    this->finished[slot] = true;
+    this->begun.erase(slot);
+}
+
+std::uint32_t step_table::done(std::size_t slot) const
+{
+    auto const* const entry = this->find(slot);
+    return entry != nullptr       ? entry->done
+           : this->finished[slot] ? this->counts[slot % this->counts.size()]
+                                  : 0;
+}
+
+std::uint32_t step_table::idle(std::size_t slot) const
+{
+    auto const* const entry = this->find(slot);
+    return entry != nullptr       ? entry->idle
+           : this->finished[slot] ? 0
+                                  : this->counts[slot % this->counts.size()];
+}
+
+step_entry const* step_table::find(std::size_t slot) const
+{
+    auto const found = this->begun.find(slot);
+    return found == this->begun.end() ? nullptr : &found->second;
+}
+
+step_entry const& step_table::operator[](std::size_t slot) const
+{
+    static step_entry const unused_step{};
+    auto const* const entry = this->find(slot);
+    return entry == nullptr ? unused_step : *entry;
+}
+
+} // namespace foxtaillift::jobs
--- /dev/null
+++ b/libs/jobs/src/task_table.hpp
@@ -0,0 +1,202 @@
+/// The tasks and steps of one job. A scheduled job has up to 20,000 tasks of
+/// which few run at a time, so that memory follows what has begun and is not
+/// over; the rest takes a bit each.
+#pragma once
+
+#include "obstacle.hpp"
+
+#include "foxtaillift/base/clock.hpp"
+#include "foxtaillift/jobs/interference.hpp"
+#include "foxtaillift/jobs/job.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace foxtaillift::jobs
+{
+
+enum class run_phase
+{
+    starting, ///< ordered, no answer yet
+    unknown,  ///< the start's answer was lost
+    running,
+    stopping,
+};
+
+/// One run of a task that is present on a worker or may be.
+struct run_entry
+{
+    std::size_t worker = 0;
+    std::uint32_t attempt = 0;
+    run_phase phase = run_phase::starting;
+    base::instant started_at{};
+    base::instant settled_at{}; ///< last answer that changed the phase
+    int percent = -1;           ///< as last reported; negative: never
+    base::instant progressed_at{};
+    /// Progress of which the report told first, and the time at full speed that
+    /// the run has worked since, by the processors that it used.
+    int first_percent = -1;
+    base::instant first_percent_at{};
+    double worked_ms = 0;
+    base::instant measured_at{};
+    int pace = 100; ///< percent, as ordered last
+    base::instant paced_at{};
+    bool is_pace_out = false; ///< the order is not answered yet
+    /// An order of another pace that was not answered may be carried out until
+    /// then.
+    base::instant pace_doubtful_until{-1'000'000};
+    /// Since when a filling run is to work at a small part of its speed.
+    std::optional<base::instant> slowed_since{};
+    std::optional<base::instant> stop_confirmed_at{};
+};
+
+/// Why a run of a task counts as over.
+enum class run_release
+{
+    none,         ///< the task has had no run
+    ended,        ///< its worker listed the end
+    absent,       ///< its worker does not list it any more
+    not_started,  ///< the start was refused
+    lease_over,   ///< nothing can run under the leases of its worker
+    other_worker, ///< another worker answers at the address
+};
+
+std::string_view to_string(run_release reason);
+
+/// What is known of a task that has had a run.
+struct task_entry
+{
+    std::uint32_t attempt = 0; ///< highest that was started
+    std::vector<std::uint32_t> failed_attempts{};
+    std::string checkpoint{};
+    base::instant not_before{};
+    run_release released_by = run_release::none; ///< its last run
+    /// When a report last spoke for the presence of its last run.
+    base::instant last_present{};
+    std::optional<std::size_t> avoided_worker{}; ///< where it failed last
+    std::uint32_t stalls = 0;                    ///< runs of it that were stuck
+    std::vector<run_entry> runs{};
+};
+
+/// By ordinal. Not thread-safe. References to entries stay valid until trim().
+class task_table
+{
+public:
+    explicit task_table(std::size_t count = 0)
+        : done(count)
+    {}
+
+    // Commands
+
+    /// The entry of a task, which is added if there is none.
+    task_entry& edit(std::size_t ordinal) { return this->begun[ordinal]; }
+    /// Null without an entry.
+    task_entry* find(std::size_t ordinal);
+    void set_done(std::size_t ordinal) { this->done[ordinal] = true; }
+    /// Drops the entry of a task that is done and has no run.
+    void trim(std::size_t ordinal);
+
+    // Queries
+
+    [[nodiscard]] std::size_t size() const { return this->done.size(); }
+    [[nodiscard]] bool is_done(std::size_t ordinal) const
+    {
+        return this->done[ordinal];
+    }
+    [[nodiscard]] std::vector<bool> const& done_tasks() const
+    {
+        return this->done;
+    }
+    /// Without an entry, that of a task that never had a run.
+    task_entry const& operator[](std::size_t ordinal) const;
+    [[nodiscard]] std::map<std::size_t, task_entry> const& entries() const
+    {
+        return this->begun;
+    }
+
+private:
+    std::vector<bool> done{};
+    std::map<std::size_t, task_entry> begun{};
+};
+
+/// What an adviser said of the workers for one step.
+struct step_advice
+{
+    struct verdict
+    {
+        std::string ticket{};        ///< empty: the worker may not run it
+        std::int64_t born_ms = 0;    ///< life of the worker that it holds for
+        base::instant valid_until{}; ///< of the ticket
+    };
+    std::map<std::size_t, verdict> verdicts{}; ///< by worker
+    bool is_asked = false;                     ///< a call is out
+    base::instant ask_after{};
+};
+
+/// One step of one occurrence.
+struct step_entry
+{
+    std::uint32_t done = 0;
+    std::uint32_t idle = 0;    ///< neither done nor with a run
+    base::instant ready_at{};  ///< when it could first start; 0: not yet
+    headroom_track headroom{}; ///< of its serving tasks
+    step_advice advice{};      ///< where the queue has an adviser
+    /// Keeps room for a starving task of the step.
+    std::optional<std::size_t> kept_worker{};
+    base::instant kept_at{-1'000'000}; ///< last run that regarded it
+    base::instant keep_search_due{-1'000'000};
+};
+
+/// By slot: by occurrence, then step. A step has an entry from its first use
+/// until all its tasks are done. Not thread-safe; references to entries stay
+/// valid until finish().
+class step_table
+{
+public:
+    step_table() = default;
+    step_table(std::span<step const> steps, std::size_t occurrences);
+
+    // Commands
+
+    /// The entry of a step, which is added if there is none.
+    step_entry& edit(std::size_t slot);
+    /// Drops the entry of a step whose tasks are all done.
+    void finish(std::size_t slot);
+
+    // Queries
+
+    [[nodiscard]] std::size_t size() const { return this->finished.size(); }
+    [[nodiscard]] std::uint32_t done(std::size_t slot) const;
+    [[nodiscard]] std::uint32_t idle(std::size_t slot) const;
+    [[nodiscard]] bool is_finished(std::size_t slot) const
+    {
+        return this->finished[slot];
+    }
+    /// Null without an entry.
+    [[nodiscard]] step_entry const* find(std::size_t slot) const;
+    /// Without an entry, one that says nothing; see done() and idle().
+    step_entry const& operator[](std::size_t slot) const;
+    [[nodiscard]] std::map<std::size_t, step_entry> const& entries() const
+    {
+        return this->begun;
+    }
+    /// Occurrences in which the step has had no entry.
+    [[nodiscard]] std::size_t unused(std::size_t step) const
+    {
+        return this->unused_by_step[step];
+    }
+
+private:
+    std::vector<std::uint32_t> counts{}; ///< tasks, by step
+    std::vector<std::size_t> unused_by_step{};
+    std::vector<bool> finished{};
+    std::map<std::size_t, step_entry> begun{};
+};
+
+} // namespace foxtaillift::jobs
--- a/libs/jobs/src/views.cpp
+++ b/libs/jobs/src/views.cpp
@@ -65,13 +65,16 @@
     auto steps = json::array();
     auto const each = job.spec.steps.size();
     for (std::size_t slot = 0; slot < job.steps.size(); ++slot) {
-        auto const& entry = job.steps[slot];
+        // Thousands of occurrences may lie ahead.
+        if (job.spec.repeats > 0 && job.steps.find(slot) == nullptr) {
+            continue;
+        }
         steps.push_back(
             {{"occurrence", slot / each},
              {"step", slot % each},
              {"tasks", job.spec.steps[slot % each].count},
-             {"done", entry.done},
-             {"idle", entry.idle},
+             {"done", job.steps.done(slot)},
+             {"idle", job.steps.idle(slot)},
              {"may_start", job.is_ready(
                                static_cast<std::uint32_t>(slot / each),
                                static_cast<std::uint32_t>(slot % each))}});
@@ -85,10 +88,10 @@
     base::instant now)
 {
     auto runs = json::array();
-    for (std::size_t i = 0; i < job.tasks.size(); ++i) {
-        for (auto const& run : job.tasks[i].runs) {
+    for (auto const& [ordinal, task] : job.tasks.entries()) {
+        for (auto const& run : task.runs) {
             runs.push_back(
-                {{"task", to_string(job.name_of(i))},
+                {{"task", to_string(job.name_of(ordinal))},
                  {"attempt", run.attempt},
                  {"worker", inside.workers[run.worker].info.id},
                  {"phase", to_text(run.phase)},
