Start on a worker only by the entry of the life that reports

Its reports come before its entry in the platform's list, and a leader that heard the new life went on with the entry of the old one.

Nothing starts now on a worker whose entry and last report tell of different lives. A life that another one has followed stays over for 10 s, so that a late answer or entry of it does not match again.

--- a/libs/jobs/include/foxtaillift/jobs/worker.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/worker.hpp
@@ -29,6 +29,9 @@
     base::duration remaining{};
     /// Its steady clock when the entry was written; 0: not told.
     std::int64_t clock_ms = 0;
+    /// Start of the life that wrote the entry, of which alone it tells; 0: not
+    /// told.
+    std::int64_t born_ms = 0;
 };
 
 /// A run that a worker reports as present.
--- a/libs/jobs/src/scheduler.cpp
+++ b/libs/jobs/src/scheduler.cpp
@@ -38,6 +38,13 @@
 void scheduler::list_worker(worker_info const& worker, base::instant now)
 {
     auto& entry = this->impl->workers[this->impl->workers.add(worker.id)];
+    if (entry.former.contains(worker.born_ms, now)) {
+        return;
+    }
+    if (entry.info.born_ms != worker.born_ms) {
+        entry.former.add(entry.info.born_ms, now);
+        entry.look_due = now;
+    }
     if (entry.info.address != worker.address) {
         entry.is_gone = false;
         entry.look_due = now;
@@ -50,6 +57,7 @@
                             .add("rack", worker.rack)
                             .add("draining", worker.is_draining)
                             .add("remaining_ms", worker.remaining)
+                            .add("born_ms", worker.born_ms)
                             .add("processors", worker.capacity.processors));
     }
     entry.info = worker;
--- a/libs/jobs/src/scheduler_reports.cpp
+++ b/libs/jobs/src/scheduler_reports.cpp
@@ -144,6 +144,9 @@
     base::instant now)
 {
     auto& worker = this->workers[index];
+    if (worker.former.contains(report.born_ms, now)) {
+        return; // it answered before its end
+    }
     if (worker.silent_looks > 0 || !worker.is_heard) {
         this->log(base::event_line{"worker_heard"}
                       .add("worker", worker.info.id)
@@ -162,7 +165,9 @@
         this->log(base::event_line{"worker_restarted"}
                       .add("worker", worker.info.id)
                       .add("born_ms", report.born_ms)
+                      .add("listed_born_ms", worker.info.born_ms)
                       .add("runs", worker.runs.size()));
+        worker.former.add(worker.born_ms, now);
         worker.processed = 0;
         worker.acknowledged = 0;
         worker.unacknowledged.clear();
--- a/libs/jobs/src/scheduler_search.cpp
+++ b/libs/jobs/src/scheduler_search.cpp
@@ -77,7 +77,8 @@
     return worker.is_heard && !worker.is_gone && !worker.is_closed &&
            !worker.info.is_draining &&
            (worker.is_listed || may_start_unlisted(worker, now)) &&
-           worker.silent_looks == 0 && worker.unsized_runs == 0 &&
+           worker.is_entry_current() && worker.silent_looks == 0 &&
+           worker.unsized_runs == 0 &&
            // Its list must become no longer while the recovery waits for it.
            !worker.has_unlisted_ends && !worker.trust.is_barred(now) &&
            !worker.trust.is_trial_out() && now - worker.heard_at < fresh_report;
--- a/libs/jobs/src/worker_table.cpp
+++ b/libs/jobs/src/worker_table.cpp
@@ -1,8 +1,29 @@
 #include "worker_table.hpp"
 
+#include <algorithm>
+
 namespace foxtaillift::jobs
 {
 
+void former_lives::add(std::int64_t born_ms, base::instant now)
+{
+    if (born_ms == 0) {
+        return; // not known
+    }
+    this->lives.emplace_back(born_ms, now + remembered);
+    if (this->lives.size() > limit) {
+        this->lives.pop_front();
+    }
+}
+
+bool former_lives::contains(std::int64_t born_ms, base::instant now) const
+{
+    return std::any_of(
+        this->lives.begin(), this->lives.end(), [&](auto const& life) {
+            return life.first == born_ms && now < life.second;
+        });
+}
+
 void worker_entry::occupy(run_name const& run, occupancy const& taken)
 {
     if (!this->runs.emplace(run, taken).second) {
--- a/libs/jobs/src/worker_table.hpp
+++ b/libs/jobs/src/worker_table.hpp
@@ -73,9 +73,26 @@
     bool is_unsized = false;
 };
 
+/// Lives of a worker, by their starts, that another one has followed. What they
+/// said may still arrive.
+class former_lives
+{
+public:
+    void add(std::int64_t born_ms, base::instant now);
+    [[nodiscard]] bool contains(std::int64_t born_ms, base::instant now) const;
+
+private:
+    /// Answers and entries are late by seconds at the most.
+    static constexpr base::duration remembered = base::seconds(10);
+    static constexpr std::size_t limit = 8;
+
+    std::deque<std::pair<std::int64_t, base::instant>> lives{};
+};
+
 struct worker_entry
 {
     worker_info info{};
+    former_lives former{};
     bool is_listed = false;
     base::instant unlisted_at{-1'000'000};
     base::instant leaves_at{}; ///< while it drains: no sooner than this
@@ -162,6 +179,13 @@
     /// Its position among the vacancies of its service, if it has one.
     std::optional<std::size_t> vacancy_position{};
 
+    /// The life that reports is the one of which the entry tells. Labels,
+    /// capacity and service may change with a life.
+    [[nodiscard]] bool is_entry_current() const
+    {
+        return this->info.born_ms == 0 || this->info.born_ms == this->born_ms;
+    }
+
     /// All that an earlier leader may have left there is known.
     [[nodiscard]] bool is_accounted() const
     {
