Find the entries of a job that runs once without a search

The decisions ask for the steps of each job in each run; a map of entries is for scheduled jobs, which have thousands of which few have begun. Jobs that run once get a pointer for each task and step, counted in their memory. Of a scheduled job at most 256 idle lasting tasks are regarded as starving at a time, which its many occurrences did not bound.

jobs_test passes (plain build); the effect on processor time was not measured by itself.

--- a/libs/jobs/src/job_table.cpp
+++ b/libs/jobs/src/job_table.cpp
@@ -159,6 +159,7 @@
 std::vector<std::size_t> job_entry::idle_lasting_tasks() const
 {
     constexpr std::uint32_t occurrences_regarded = 64;
+    constexpr std::size_t tasks_regarded = 256; // of these
     std::vector<std::size_t> result;
     if (this->idle == 0 || !this->has_lasting_step) {
         return result;
@@ -171,7 +172,11 @@
     auto const each = static_cast<std::uint32_t>(this->spec.steps.size());
     auto const end = std::min(
         this->spec.occurrences(), this->first_open + occurrences_regarded);
+    bool const is_scheduled = this->spec.repeats > 0;
     for (auto k = this->first_open; k < end; ++k) {
+        if (is_scheduled && result.size() >= tasks_regarded) {
+            break;
+        }
         for (std::uint32_t step = 0; step < each; ++step) {
             if (!this->spec.steps[step].is_lasting ||
                 this->steps.idle(std::size_t{k} * each + step) == 0) {
@@ -295,9 +300,11 @@
                 step.image.size();
         tasks += step.count;
     }
-    // A bit of each task and of each step.
+    // A bit of each task and of each step, and where they are few a pointer.
     auto const bits = (tasks + spec.steps.size()) * spec.occurrences();
-    return size + bits / bits_per_byte;
+    auto const pointers =
+        spec.occurrences() == 1 ? tasks + spec.steps.size() : 0;
+    return size + bits / bits_per_byte + pointers * sizeof(void*);
 }
 
 bool is_racing(step const& step)
@@ -321,7 +328,9 @@
     job.has_racing_step =
         std::any_of(job.spec.steps.begin(), job.spec.steps.end(), is_racing);
     job.steps = step_table{job.spec.steps, job.spec.occurrences()};
-    job.tasks = task_table{job.spec.occurrences() * job.tasks_in_occurrence()};
+    job.tasks = task_table{
+        job.spec.occurrences() * job.tasks_in_occurrence(),
+        job.spec.occurrences() == 1};
     job.fixed_bytes = memory_of(job.spec);
     if (progress) {
         apply(job, *progress);
--- a/libs/jobs/src/task_table.cpp
+++ b/libs/jobs/src/task_table.cpp
@@ -22,31 +22,25 @@
     return "none";
 }
 
-task_entry* task_table::find(std::size_t ordinal)
-{
-    auto const found = this->begun.find(ordinal);
-    return found == this->begun.end() ? nullptr : &found->second;
-}
-
 void task_table::trim(std::size_t ordinal)
 {
-    auto const found = this->begun.find(ordinal);
-    if (found != this->begun.end() && this->done[ordinal] &&
-        found->second.runs.empty()) {
-        this->begun.erase(found);
+    auto const* const entry = this->begun.find(ordinal);
+    if (entry != nullptr && this->done[ordinal] && entry->runs.empty()) {
+        this->begun.erase(ordinal);
     }
 }
 
 task_entry const& task_table::operator[](std::size_t ordinal) const
 {
     static task_entry const never_begun{};
-    auto const found = this->begun.find(ordinal);
-    return found == this->begun.end() ? never_begun : found->second;
+    auto const* const entry = this->begun.find(ordinal);
+    return entry == nullptr ? never_begun : *entry;
 }
 
 step_table::step_table(std::span<step const> steps, std::size_t occurrences)
     : unused_by_step(steps.size(), occurrences)
     , finished(steps.size() * occurrences)
+    , begun(steps.size(), occurrences == 1)
 {
     this->counts.reserve(steps.size());
     for (auto const& each : steps) {
@@ -57,19 +51,19 @@
 step_entry& step_table::edit(std::size_t slot)
 {
     auto const number = slot % this->counts.size();
-    auto const [found, is_new] = this->begun.try_emplace(slot);
+    auto const [entry, is_new] = this->begun.add(slot);
     if (is_new && this->finished[slot]) {
-        found->second.done = this->counts[number];
+        entry->done = this->counts[number];
     } else if (is_new) {
-        found->second.idle = this->counts[number];
+        entry->idle = this->counts[number];
         --this->unused_by_step[number];
     }
-    return found->second;
+    return *entry;
 }
 
 void step_table::finish(std::size_t slot)
 {
-    if (!this->finished[slot] && !this->begun.contains(slot)) {
+    if (!this->finished[slot] && this->find(slot) == nullptr) {
         --this->unused_by_step[slot % this->counts.size()];
     }
     this->finished[slot] = true;
@@ -92,12 +86,6 @@
                                   : this->counts[slot % this->counts.size()];
 }
 
-step_entry const* step_table::find(std::size_t slot) const
-{
-    auto const found = this->begun.find(slot);
-    return found == this->begun.end() ? nullptr : &found->second;
-}
-
 step_entry const& step_table::operator[](std::size_t slot) const
 {
     static step_entry const unused_step{};
--- a/libs/jobs/src/task_table.hpp
+++ b/libs/jobs/src/task_table.hpp
@@ -1,6 +1,6 @@
 /// The tasks and steps of one job. A scheduled job has up to 20,000 tasks of
 /// which few run at a time, so that memory follows what has begun and is not
-/// over; the rest takes a bit each.
+/// over. The rest takes a bit each, and in a job that runs once a pointer.
 #pragma once
 
 #include "obstacle.hpp"
@@ -16,6 +16,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace foxtaillift::jobs
@@ -84,20 +85,89 @@
     std::vector<run_entry> runs{};
 };
 
+/// Entries by position. A dense one finds them without a search. Not
+/// thread-safe; references stay valid until the entry is erased.
+template <class Entry>
+class sparse_entries
+{
+public:
+    sparse_entries() = default;
+    sparse_entries(std::size_t size, bool is_dense)
+        : direct(is_dense ? size : 0)
+    {}
+    ~sparse_entries() = default;
+    sparse_entries(sparse_entries const&) = delete;
+    sparse_entries& operator=(sparse_entries const&) = delete;
+    sparse_entries(sparse_entries&&) noexcept = default;
+    sparse_entries& operator=(sparse_entries&&) noexcept = default;
+
+    /// The entry, and whether it was added.
+    std::pair<Entry*, bool> add(std::size_t position)
+    {
+        auto const [found, is_new] = this->all.try_emplace(position);
+        if (is_new && !this->direct.empty()) {
+            this->direct[position] = &found->second;
+        }
+        return {&found->second, is_new};
+    }
+
+    void erase(std::size_t position)
+    {
+        this->all.erase(position);
+        if (!this->direct.empty()) {
+            this->direct[position] = nullptr;
+        }
+    }
+
+    /// Null if there is none.
+    [[nodiscard]] Entry* find(std::size_t position)
+    {
+        return find_in(*this, position);
+    }
+    [[nodiscard]] Entry const* find(std::size_t position) const
+    {
+        return find_in(*this, position);
+    }
+    [[nodiscard]] std::map<std::size_t, Entry> const& entries() const
+    {
+        return this->all;
+    }
+
+private:
+    template <class Self>
+    static auto find_in(Self& self, std::size_t position)
+        -> decltype(&self.all.begin()->second)
+    {
+        if (!self.direct.empty()) {
+            return self.direct[position];
+        }
+        auto const found = self.all.find(position);
+        return found == self.all.end() ? nullptr : &found->second;
+    }
+
+    std::map<std::size_t, Entry> all{};
+    std::vector<Entry*> direct{}; ///< empty if this is not dense
+};
+
 /// By ordinal. Not thread-safe. References to entries stay valid until trim().
 class task_table
 {
 public:
-    explicit task_table(std::size_t count = 0)
+    task_table() = default;
+    task_table(std::size_t count, bool is_dense)
         : done(count)
+        , begun(count, is_dense)
     {}
 
     // Commands
 
     /// The entry of a task, which is added if there is none.
-    task_entry& edit(std::size_t ordinal) { return this->begun[ordinal]; }
+    task_entry& edit(std::size_t ordinal)
+    {
+        return *this->begun.add(ordinal).first;
+    }
     /// Null without an entry.
-    task_entry* find(std::size_t ordinal);
+    task_entry* find(std::size_t ordinal) { return this->begun.find(ordinal); }
     void set_done(std::size_t ordinal) { this->done[ordinal] = true; }
     /// Drops the entry of a task that is done and has no run.
     void trim(std::size_t ordinal);
@@ -117,12 +187,12 @@
     task_entry const& operator[](std::size_t ordinal) const;
     [[nodiscard]] std::map<std::size_t, task_entry> const& entries() const
     {
-        return this->begun;
+        return this->begun.entries();
     }
 
 private:
     std::vector<bool> done{};
-    std::map<std::size_t, task_entry> begun{};
+    sparse_entries<task_entry> begun{};
 };
 
 /// What an adviser said of the workers for one step.
@@ -179,12 +249,15 @@
         return this->finished[slot];
     }
     /// Null without an entry.
-    [[nodiscard]] step_entry const* find(std::size_t slot) const;
+    [[nodiscard]] step_entry const* find(std::size_t slot) const
+    {
+        return this->begun.find(slot);
+    }
     /// Without an entry, one that says nothing; see done() and idle().
     step_entry const& operator[](std::size_t slot) const;
     [[nodiscard]] std::map<std::size_t, step_entry> const& entries() const
     {
-        return this->begun;
+        return this->begun.entries();
     }
     /// Occurrences in which the step has had no entry.
     [[nodiscard]] std::size_t unused(std::size_t step) const
@@ -196,7 +269,7 @@
     std::vector<std::uint32_t> counts{}; ///< tasks, by step
     std::vector<std::size_t> unused_by_step{};
     std::vector<bool> finished{};
-    std::map<std::size_t, step_entry> begun{};
+    sparse_entries<step_entry> begun{};
 };
 
 } // namespace foxtaillift::jobs
