Leave half of the memory of jobs to those that are not scheduled

Scheduled jobs may stay for weeks; with all of the memory they would have ordinary jobs rejected as long. They are rejected from half of it on.

--- a/libs/jobs/include/foxtaillift/jobs/leader.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/leader.hpp
@@ -294,8 +294,20 @@
             return count * memory_of_frame + encoded * memory_factor;
         };
         auto const held = this->writer->held_submissions();
-        return this->decisions.has_memory_for(
-            size_of(held.count, held.bytes) + size_of(1, wanted.value.size()));
+        auto const size =
+            size_of(held.count, held.bytes) + size_of(1, wanted.value.size());
+        return this->decisions.has_memory_for(size, true) ||
+               (this->decisions.has_memory_for(size, false) &&
+                !is_scheduled(wanted.value));
+    }
+
+    static bool is_scheduled(std::string const& value)
+    {
+        try {
+            return decode_job(value).repeats > 0;
+        } catch (base::error const&) {
+            return false; // it is reported once it is accepted
+        }
     }
 
     /// The promise that the job never runs is durable, or is not made.
--- a/libs/jobs/include/foxtaillift/jobs/scheduler.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/scheduler.hpp
@@ -290,7 +290,9 @@
     [[nodiscard]] fleet_load load(base::instant now) const;
     [[nodiscard]] std::size_t job_count() const;
     /// Another job, with this much of memory at most [bytes], may be accepted.
-    [[nodiscard]] bool has_memory_for(std::size_t size) const;
+    /// Scheduled jobs, which stay for long, leave half of it to others.
+    [[nodiscard]] bool
+    has_memory_for(std::size_t size, bool is_scheduled) const;
     /// Services and kinds of tasks that submissions were decided for lately.
     [[nodiscard]] std::vector<admission_load>
     admission(base::instant now) const;
--- a/libs/jobs/src/scheduler.cpp
+++ b/libs/jobs/src/scheduler.cpp
@@ -413,10 +413,11 @@
     return this->impl->jobs.size();
 }
 
-bool scheduler::has_memory_for(std::size_t size) const
+bool scheduler::has_memory_for(std::size_t size, bool is_scheduled) const
 {
     auto const limit = this->impl->options.job_memory;
-    return limit == 0 || this->impl->job_memory + size <= limit;
+    auto const part = is_scheduled ? limit / 2 : limit;
+    return limit == 0 || this->impl->job_memory + size <= part;
 }
 
 } // namespace foxtaillift::jobs
--- a/libs/jobs/tests/job_memory_test.cpp
+++ b/libs/jobs/tests/job_memory_test.cpp
@@ -300,6 +300,25 @@
     test.check_end();
 }
 
+// Guards against ordinary jobs that are rejected for weeks, as long as
+// scheduled ones last.
+TEST_CASE("scheduled jobs leave half of the memory to others")
+{
+    scheduler_fixture test{scheduler_options{.job_memory = 100'000}};
+    CHECK(test.decisions.has_memory_for(50'000, true));
+    CHECK_FALSE(test.decisions.has_memory_for(50'001, true));
+    CHECK(test.decisions.has_memory_for(100'000, false));
+    auto const kind = scheduled_kind{};
+    while (test.decisions.has_memory_for(1000, true)) {
+        auto const number = test.decisions.job_count();
+        test.decisions.add_job(
+            kind.make("j" + std::to_string(number), 0), std::nullopt, test.now);
+    }
+    CHECK(test.decisions.job_count() > 1);
+    CHECK(test.decisions.has_memory_for(30'000, false));
+    CHECK_FALSE(test.decisions.has_memory_for(100'000, false));
+}
+
 // Guards against the same fault by hosts that know no leader: they write jobs
 // by themselves, and the next leader has to hold them all.
 TEST_CASE("hosts without a leader accept a bounded amount of jobs")
