--- a/libs/jobs/include/foxtaillift/jobs/leader.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/leader.hpp
@@ -253,10 +253,11 @@
     /// only while a majority of workers knows no higher token.
     static constexpr base::duration confirmed_time = base::milliseconds(2000);
     static constexpr base::duration majority_span = base::milliseconds(2500);
-    /// Jobs end within seconds to minutes.
+    /// After it, a job that was rejected for memory may come again; others have
+    /// ended by then.
     static constexpr base::duration memory_retry = base::seconds(5);
-    /// A job in memory takes at most this many times its encoding, beside its
-    /// frame: a step of 30 bytes has some 500.
+    /// For a submission that is not written yet, beside its frame: a usual step
+    /// has 30 bytes encoded and some 500 in memory.
     static constexpr std::size_t memory_factor = 16;
     static constexpr std::size_t memory_of_frame = 2048;
     /// Decisions take at most half of the time.
@@ -320,7 +321,7 @@
                (use == rejection_use::allowed && this->writer->may_reject());
     }
 
-    /// Makes a rejection of it, if it is not barred anyway.
+    /// Makes a rejection of it, unless an earlier one bars it.
     void reject_for_memory(submission_batch::submission& wanted)
     {
         if (wanted.replaces != this->writer->rejection_version_of(wanted.job)) {
--- a/libs/jobs/include/foxtaillift/jobs/submitter.hpp
+++ b/libs/jobs/include/foxtaillift/jobs/submitter.hpp
@@ -77,7 +77,8 @@
     static constexpr base::duration leader_check = base::milliseconds(200);
     /// Before a request whose outcome is unknown is sent again.
     static constexpr base::duration retry_gap = base::milliseconds(150);
-    /// Until another host leads, at the most times.
+    /// When a job that was refused may come again: another host leads by then,
+    /// most of the time.
     static constexpr base::duration leader_gap = base::seconds(2);
     /// The hosts of a system together write as much without a leader as one
     /// leader has the memory for.
