Keep the steps of a job that runs once at hand

Each run of the decisions asks for the steps of all jobs.

A job that runs once has all its steps in a row again, and its tasks are found by a pointer when runs are counted. Only scheduled jobs, which have thousands of steps, keep entries of what has begun.

--- a/libs/jobs/src/job_table.cpp
+++ b/libs/jobs/src/job_table.cpp
@@ -207,7 +207,7 @@
         auto const step = static_cast<std::uint32_t>(slot % each);
         count += amount > 0 && this->is_ready(occurrence, step) ? amount : 0;
     };
-    if (this->spec.repeats == 0) {
+    if (this->spec.occurrences() == 1) {
         for (std::size_t slot = 0; slot < this->steps.size(); ++slot) {
             add(slot, this->steps.idle(slot));
         }
@@ -300,10 +300,10 @@
                 step.image.size();
         tasks += step.count;
     }
-    // A bit of each task and of each step, and where they are few a pointer.
+    // A bit of each task and of each step, and if it runs once a pointer to
+    // each task.
     auto const bits = (tasks + spec.steps.size()) * spec.occurrences();
-    auto const pointers =
-        spec.occurrences() == 1 ? tasks + spec.steps.size() : 0;
+    auto const pointers = spec.occurrences() == 1 ? tasks : 0;
     return size + bits / bits_per_byte + pointers * sizeof(void*);
 }
 
--- a/libs/jobs/src/scheduler_placing.cpp
+++ b/libs/jobs/src/scheduler_placing.cpp
@@ -57,12 +57,21 @@
 runs_by_worker(job_entry const& job, std::size_t first, std::size_t count)
 {
     std::map<std::size_t, std::size_t> result;
+    auto const add = [&](task_entry const& task) {
+        for (auto const& run : task.runs) {
+            ++result[run.worker];
+        }
+    };
+    if (job.spec.occurrences() == 1) {
+        for (std::size_t i = first; i < first + count; ++i) {
+            add(job.tasks[i]);
+        }
+        return result;
+    }
     auto const& begun = job.tasks.entries();
     for (auto each = begun.lower_bound(first);
          each != begun.end() && each->first < first + count; ++each) {
-        for (auto const& run : each->second.runs) {
-            ++result[run.worker];
-        }
+        add(each->second);
     }
     return result;
 }
--- a/libs/jobs/src/task_table.cpp
+++ b/libs/jobs/src/task_table.cpp
@@ -40,15 +40,18 @@
 step_table::step_table(std::span<step const> steps, std::size_t occurrences)
     : unused_by_step(steps.size(), occurrences)
     , finished(steps.size() * occurrences)
-    , begun(steps.size(), occurrences == 1)
+    , always(occurrences == 1 ? steps.size() : 0)
 {
     this->counts.reserve(steps.size());
     for (auto const& each : steps) {
         this->counts.push_back(each.count);
     }
+    for (std::size_t slot = 0; slot < this->always.size(); ++slot) {
+        this->always[slot].idle = this->counts[slot];
+    }
 }
 
-step_entry& step_table::edit(std::size_t slot)
+step_entry& step_table::add(std::size_t slot)
 {
     auto const number = slot % this->counts.size();
     auto const [entry, is_new] = this->begun.add(slot);
@@ -67,7 +70,12 @@
         --this->unused_by_step[slot % this->counts.size()];
     }
     this->finished[slot] = true;
-    this->begun.erase(slot);
+    if (this->always.empty()) {
+        this->begun.erase(slot);
+    } else {
+        this->always[slot].done = this->counts[slot];
+        this->always[slot].idle = 0;
+    }
 }
 
 std::uint32_t step_table::done(std::size_t slot) const
--- a/libs/jobs/src/task_table.hpp
+++ b/libs/jobs/src/task_table.hpp
@@ -1,6 +1,7 @@
 /// The tasks and steps of one job. A scheduled job has up to 20,000 tasks of
 /// which few run at a time, so that memory follows what has begun and is not
-/// over. The rest takes a bit each, and in a job that runs once a pointer.
+/// over. The rest takes a bit each. A job that runs once has all its steps at
+/// hand, which each run of the decisions asks for, and a pointer to each task.
 #pragma once
 
 #include "obstacle.hpp"
@@ -104,6 +105,9 @@
     /// The entry, and whether it was added.
     std::pair<Entry*, bool> add(std::size_t position)
     {
+        if (!this->direct.empty() && this->direct[position] != nullptr) {
+            return {this->direct[position], false};
+        }
         auto const [found, is_new] = this->all.try_emplace(position);
         if (is_new && !this->direct.empty()) {
             this->direct[position] = &found->second;
@@ -223,9 +227,9 @@
     base::instant keep_search_due{-1'000'000};
 };
 
-/// By slot: by occurrence, then step. A step has an entry from its first use
-/// until all its tasks are done. Not thread-safe; references to entries stay
-/// valid until finish().
+/// By slot: by occurrence, then step. A step of a scheduled job has an entry
+/// from its first use until all its tasks are done, one of any other job
+/// always. Not thread-safe; references to entries stay valid until finish().
 class step_table
 {
 public:
@@ -235,8 +239,11 @@
     // Commands
 
     /// The entry of a step, which is added if there is none.
-    step_entry& edit(std::size_t slot);
-    /// Drops the entry of a step whose tasks are all done.
+    step_entry& edit(std::size_t slot)
+    {
+        return this->always.empty() ? this->add(slot) : this->always[slot];
+    }
+    /// Call once all tasks of the step are done.
     void finish(std::size_t slot);
 
     // Queries
@@ -251,25 +258,30 @@
     /// Null without an entry.
     [[nodiscard]] step_entry const* find(std::size_t slot) const
     {
-        return this->begun.find(slot);
+        return this->always.empty() ? this->begun.find(slot)
+                                    : &this->always[slot];
     }
     /// Without an entry, one that says nothing; see done() and idle().
     step_entry const& operator[](std::size_t slot) const;
+    /// Of a scheduled job.
     [[nodiscard]] std::map<std::size_t, step_entry> const& entries() const
     {
         return this->begun.entries();
     }
-    /// Occurrences in which the step has had no entry.
+    /// Occurrences of a scheduled job in which the step has had no entry.
     [[nodiscard]] std::size_t unused(std::size_t step) const
     {
         return this->unused_by_step[step];
     }
 
 private:
+    step_entry& add(std::size_t slot);
+
     std::vector<std::uint32_t> counts{}; ///< tasks, by step
     std::vector<std::size_t> unused_by_step{};
     std::vector<bool> finished{};
     sparse_entries<step_entry> begun{};
+    std::vector<step_entry> always{}; ///< of a job that runs once
 };
 
 } // namespace foxtaillift::jobs
